--- /dev/null
+++ b/Makefile
@@ -0,0 +1,83 @@
+# Two commands serve a newcomer: `make run` and `make test`. Both make the
+# virtual environment and the model checker that they need.
+
+SHELL := /bin/bash
+.SHELLFLAGS := -euo pipefail -c
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+NAMES := decisions callers upstreams peers platform operators daemon
+SOURCES := $(foreach name,$(NAMES),packages/$(name)/src)
+CODE := packages tests measure
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES) tests measure))
+export PYTHONDONTWRITEBYTECODE := 1
+export PYTHONHASHSEED := 0
+
+.PHONY: setup spin run test format format-check lint types tests model \
+	model-mutants measure measure-quick slopes wire requirements clean
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements/develop.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --require-hashes -r requirements/develop.txt
+	touch $@
+
+spin:
+	command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
+
+run: setup
+	$(BIN)/python -m demonstration.main
+
+test: setup format-check lint types tests
+
+format: setup
+	$(BIN)/ruff format $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
+
+format-check: setup
+	$(BIN)/ruff format --check $(CODE)
+
+lint: setup
+	$(BIN)/ruff check $(CODE)
+	$(BIN)/flake8 $(CODE)
+
+types: setup
+	$(BIN)/mypy $(foreach name,$(NAMES),packages/$(name)/src/dragonflyknot) measure tests
+
+tests: setup
+	$(BIN)/pytest tests
+
+model: spin
+	$(PYTHON) models/check.py
+
+model-mutants: spin
+	$(PYTHON) models/check.py --mutants
+
+measure: setup
+	$(BIN)/python -m experiments.main
+
+measure-quick: setup
+	$(BIN)/python -m experiments.main --quick
+
+slopes: setup
+	$(BIN)/python -m slopes.main
+
+# Regenerates the committed gRPC code from the .proto file.
+wire: setup
+	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
+		-I. --python_out=. --pyi_out=. --grpclib_python_out=. \
+		dragonflyknot/peers/wire/control.proto
+
+# Pins every dependency with its hashes and without index addresses.
+requirements: setup
+	for name in runtime develop; do \
+		$(BIN)/pip-compile -q --generate-hashes --allow-unsafe --no-header \
+		--no-emit-index-url --no-emit-find-links --no-emit-trusted-host \
+		--strip-extras -o requirements/$$name.txt requirements/$$name.in; \
+	done
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis measure/out
--- /dev/null
+++ b/measure/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Start fleets of real daemons with fake upstreams on loopback."""
--- /dev/null
+++ b/packages/callers/src/dragonflyknot/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The edge: serves callers over HTTP."""
--- /dev/null
+++ b/packages/daemon/src/dragonflyknot/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, wiring and lifecycle."""
--- /dev/null
+++ b/packages/operators/src/dragonflyknot/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document, the command line and the control-room view."""
--- /dev/null
+++ b/packages/peers/src/dragonflyknot/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Control and request forwarding between daemons."""
--- /dev/null
+++ b/packages/platform/src/dragonflyknot/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the table service and the object store."""
--- /dev/null
+++ b/packages/upstreams/src/dragonflyknot/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The gate: admits work to the upstream of this host."""
