--- a/packages/decisions/src/dragonflyknot/decisions/refusals.py
+++ b/packages/decisions/src/dragonflyknot/decisions/refusals.py
@@ -99,8 +99,8 @@
         Refusal.ALREADY_CLAIMED: RefusalRule(
             409,
             Outcome.UNKNOWN,
-            'The operation with this Idempotency-Key ran or may have run; look up'
-            ' its result before sending a new key.',
+            'The operation with this Idempotency-Key ran or may have run; look'
+            ' up its result before sending a new key.',
         ),
         Refusal.RATE: RefusalRule(
             429,
@@ -160,8 +160,8 @@
         Refusal.UPSTREAM_SILENT: RefusalRule(
             504,
             Outcome.UNKNOWN,
-            'The upstream did not answer in time; check whether the request took'
-            ' effect.',
+            'The upstream did not answer in time; check whether the request'
+            ' took effect.',
         ),
     }
 )
