--- a/tests/unit/test_runner.py
+++ b/tests/unit/test_runner.py
@@ -1,7 +1,6 @@
 """Check that the runner itself reports a failing asynchronous test."""
 
 import asyncio
-import unittest
 
 import testtools
 from asyncrun import run_async
@@ -19,6 +18,6 @@
 
                 run_async(body())
 
-        outcome = unittest.TestResult()
+        outcome = testtools.TestResult()
         Failing('test_body').run(outcome)
         self.assertEqual(1, len(outcome.failures))
