--- /dev/null
+++ b/tests/unit/test_ledger.py
@@ -0,0 +1,152 @@
+"""Check that the ledger runs an attempt once and that *never* binds."""
+
+from dataclasses import dataclass, field
+
+import testtools
+from dragonflyknot.decisions import ledger as once
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ('send', 'offer', 'start', 'finish', 'never', 'resolve', 'wait')
+        ),
+        st.integers(0, 11),
+    ),
+    max_size=120,
+)
+WAITS_S = (0.1, 1, 5, 11, 30, 65, 125)
+
+
+@dataclass
+class _History:
+    """Keep what was promised and done for each attempt."""
+
+    sent: list[str] = field(default_factory=list)
+    accepted: list[str] = field(default_factory=list)
+    started: set[str] = field(default_factory=set)
+    promised: set[str] = field(default_factory=set)
+
+
+class LedgerPropertyTest(testtools.TestCase):
+    """Whatever is late, doubled or resolved, the promises hold."""
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=400)
+    @given(steps=STEPS, epoch_attempts=st.sampled_from((0, 1, 3)))
+    def test_never_runs_twice_and_never_binds(
+        self, steps: list[tuple[str, int]], epoch_attempts: int
+    ) -> None:
+        ledger = once.Ledger(7, epoch_attempts)
+        history = _History()
+        now = 0.0
+        for action, number in steps:
+            if action == 'wait':
+                now += WAITS_S[number % len(WAITS_S)]
+            elif action == 'send':
+                history.sent.append(
+                    once.name_attempt(ledger.epoch(now), 'r', len(history.sent))
+                )
+            elif history.sent:
+                attempt = history.sent[number % len(history.sent)]
+                self._step(ledger, history, action, attempt, now)
+
+    def _step(
+        self,
+        ledger: once.Ledger,
+        history: _History,
+        action: str,
+        attempt: str,
+        now: float,
+    ) -> None:
+        if action == 'offer':
+            offered = ledger.offer(attempt, 7, now)
+            if isinstance(offered, once.Accepted):
+                self.assertNotIn(attempt, history.accepted)
+                self.assertNotIn(attempt, history.promised)
+                history.accepted.append(attempt)
+            if isinstance(offered, once.Revoked):
+                self._promise(history, attempt)
+        elif action == 'start':
+            if ledger.started(attempt, now):
+                self.assertNotIn(attempt, history.promised)
+                history.started.add(attempt)
+        elif action == 'finish':
+            ledger.finished(attempt, answer_kept=True, now=now)
+        elif action == 'never' and attempt not in history.started:
+            ledger.never_ran(attempt, now)
+        elif action == 'resolve':
+            answer = ledger.resolve(attempt, 7, now)
+            if isinstance(answer, once.ResolvedNever):
+                self._promise(history, attempt)
+
+    def _promise(self, history: _History, attempt: str) -> None:
+        self.assertNotIn(attempt, history.started)
+        history.promised.add(attempt)
+
+
+class LedgerTest(testtools.TestCase):
+    """The gate's answers at the edges of its memory."""
+
+    def test_follows_an_attempt(self) -> None:
+        ledger = once.Ledger(7)
+        attempt = once.name_attempt(ledger.epoch(0), 'r', 1)
+        self.assertEqual(once.Accepted(), ledger.offer(attempt, 7, 0))
+        self.assertEqual(once.Duplicate(), ledger.offer(attempt, 7, 0))
+        self.assertEqual(once.ResolvedQueued(), ledger.resolve(attempt, 7, 0))
+        self.assertTrue(ledger.started(attempt, 0))
+        self.assertEqual(once.ResolvedRunning(), ledger.resolve(attempt, 7, 0))
+        ledger.finished(attempt, answer_kept=True, now=0)
+        self.assertEqual(
+            once.ResolvedFinished(answer_kept=True),
+            ledger.resolve(attempt, 7, 0),
+        )
+        ledger.answer_dropped(attempt)
+        self.assertEqual(
+            once.ResolvedFinished(answer_kept=False),
+            ledger.resolve(attempt, 7, 0),
+        )
+
+    def test_late_attempt_is_refused_after_its_epoch(self) -> None:
+        ledger = once.Ledger(7)
+        late = once.name_attempt(ledger.epoch(0), 'late', 1)
+        older = once.name_attempt(ledger.epoch(0), 'older', 1)
+        for tick in range(1, 200):
+            ledger.epoch(tick)
+            if tick == 65:
+                self.assertEqual(once.Revoked(), ledger.offer(late, 7, tick))
+        self.assertEqual(once.Duplicate(), ledger.offer(older, 7, 200))
+        self.assertEqual(once.ResolvedUnknown(), ledger.resolve(older, 7, 200))
+
+    def test_other_incarnation_is_told_apart(self) -> None:
+        ledger = once.Ledger(7)
+        self.assertEqual(once.WrongIncarnation(), ledger.offer('0.r.1', 6, 0))
+        self.assertEqual(once.ResolvedUnknown(), ledger.resolve('0.r.1', 6, 0))
+        ledger.adopt(9)
+        self.assertEqual(once.Accepted(), ledger.offer('0.r.1', 9, 0))
+        self.assertEqual(once.Duplicate(), ledger.offer('0.r.1', 7, 0))
+
+    def test_id_without_a_known_epoch_never_runs(self) -> None:
+        ledger = once.Ledger(7)
+        for attempt in ('r', '5.r.1', '-1.r.1', '.r', '٣.r.1'):
+            self.assertEqual(once.Duplicate(), ledger.offer(attempt, 7, 0))
+
+    def test_memory_is_bounded_under_load(self) -> None:
+        ledger = once.Ledger(7, epoch_attempts=100)
+        for number in range(5000):
+            attempt = once.name_attempt(ledger.epoch(0), 'r', number)
+            self.assertEqual(once.Accepted(), ledger.offer(attempt, 7, 0))
+            ledger.started(attempt, 0)
+            ledger.finished(attempt, answer_kept=False, now=0)
+        self.assertTrue(len(ledger) <= 100 * once.KEPT_EPOCHS)
+
+    def test_long_run_is_remembered(self) -> None:
+        ledger = once.Ledger(7)
+        attempt = once.name_attempt(ledger.epoch(0), 'r', 1)
+        ledger.offer(attempt, 7, 0)
+        ledger.started(attempt, 0)
+        for tick in range(0, 400, 5):
+            ledger.epoch(tick)
+        self.assertEqual(
+            once.ResolvedRunning(), ledger.resolve(attempt, 7, 400)
+        )
