--- a/packages/decisions/src/dragonflyknot/decisions/keyring.py
+++ b/packages/decisions/src/dragonflyknot/decisions/keyring.py
@@ -143,12 +143,13 @@
 
         The peer counted its age when it answered, which was after
         `asked_at`. False says that the peer holds changes that are missing.
+        A peer with fewer changes vouches too: the table held nothing newer
+        than its number then, so nothing newer than this copy either.
         """
         if peer.sequence > self._sequence:
             return False
-        if peer.sequence == self._sequence:
-            age_s = max(0, peer.age_s) * (1 + MAXIMUM_CLOCK_DRIFT)
-            self._fresh_at = max(self._fresh_at, asked_at - age_s)
+        age_s = max(0, peer.age_s) * (1 + MAXIMUM_CLOCK_DRIFT)
+        self._fresh_at = max(self._fresh_at, asked_at - age_s)
         return True
 
     def freshness(self, now: float) -> PeerFreshness:
--- a/packages/decisions/src/dragonflyknot/decisions/ledger.py
+++ b/packages/decisions/src/dragonflyknot/decisions/ledger.py
@@ -140,7 +140,6 @@
         if state is not None or not self._floor <= epoch <= current:
             return Duplicate()
         if current - epoch >= ACCEPTED_EPOCHS:
-            self._record(attempt_id, epoch, _State.NEVER)
             return Revoked()
         self._record(attempt_id, epoch, _State.QUEUED)
         return Accepted()
--- a/tests/unit/test_keyring.py
+++ b/tests/unit/test_keyring.py
@@ -81,8 +81,11 @@
     def test_withdrawn_key_dies_within_the_bound(
         self, steps: list[tuple[str, int, int, float]]
     ) -> None:
-        rings = [keys.Keyring(BOUND_S) for _ in range(3)]
         table = [_issue(1)]
+        rings = [keys.Keyring(BOUND_S) for _ in range(3)]
+        for ring in rings:
+            ring.install(keys.KeyChanges(0, 1, tuple(table)))
+            ring.confirm_by_store(1, asked_at=0)
         withdrawn_at = None
         questions: list[tuple[int, float, keys.PeerFreshness]] = []
         now = 0.0
