--- /dev/null
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -0,0 +1,241 @@
+"""Send a call to gates until it is served or refused.
+
+Each attempt goes to another gate. A retry needs a part of the chain's pool
+and room in the daemon's retry budget, and follows only a refusal that did
+not run or a failure on an idempotent route.
+"""
+
+import asyncio
+import time
+from dataclasses import dataclass, field, replace
+
+import structlog
+from aiohttp import web
+
+from dragonflyknot.callers import ports
+from dragonflyknot.decisions import headers as names
+from dragonflyknot.decisions import ledger, retry, routing
+from dragonflyknot.decisions.calls import (
+    Attempt,
+    Call,
+    LoadReport,
+    Outcome,
+)
+from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.exchange.bodies import REPLAYABLE_BYTES
+from dragonflyknot.exchange import sending
+from dragonflyknot.exchange.heads import answer_head
+from dragonflyknot.exchange.refusing import Refused
+from dragonflyknot.exchange.relaying import BrokenAnswer, relay
+
+_log = structlog.get_logger(__name__)
+
+_SERVER_ERROR = 500
+
+Ending = web.StreamResponse | Refused
+
+
+@dataclass(slots=True)
+class CallRun:
+    """Hold the progress of one call through its attempts."""
+
+    call: Call
+    request: web.BaseRequest
+    outgoing: sending.Outgoing
+    pool: retry.RetryPool
+    excluded: set[str] = field(default_factory=set)
+    attempts: int = 0
+    may_have_run: bool = False
+
+
+class Attempts:
+    """Run calls by choosing gates, sending attempts and retrying."""
+
+    def __init__(self, edge_ports: ports.EdgePorts) -> None:
+        """Keep the ports of the daemon."""
+        self._ports = edge_ports
+
+    async def run(self, run: CallRun) -> Ending:
+        """Return the response that was relayed, or why there is none."""
+        while True:
+            ending = await self._attempt(run)
+            if isinstance(ending, web.StreamResponse):
+                return ending
+            if not self._may_retry(run, ending):
+                return _with_known_outcome(run, ending)
+            self._ports.tally.retries += 1
+            await asyncio.sleep(
+                retry.backoff_s(run.attempts, self._ports.rng)
+            )
+
+    async def _attempt(self, run: CallRun) -> Ending:
+        now = time.monotonic()
+        if now >= run.call.deadline:
+            return Refused(Refusal.NO_TIME)
+        choice = self._ports.router.choose(
+            run.call.service,
+            run.call.priority,
+            frozenset(run.excluded),
+            _is_large(run),
+            now,
+            self._ports.rng,
+        )
+        match choice:
+            case routing.NoTarget(refusal, retry_after_s):
+                return Refused(refusal, retry_after_s, is_final=True)
+            case routing.Target():
+                return await self._send(run, choice)
+
+    async def _send(self, run: CallRun, target: routing.Target) -> Ending:
+        run.attempts += 1
+        handed = run.pool.hand_over(_share(run.pool.left))
+        attempt = Attempt(
+            attempt_id=ledger.name_attempt(
+                self._ports.sender.epoch(target.host),
+                run.call.request_id,
+                run.attempts,
+            ),
+            host=target.host,
+            incarnation=target.incarnation,
+            call=replace(run.call, retries=handed),
+        )
+        sent = routing.AttemptSent(
+            target.host, attempt.attempt_id, run.outgoing.body.length or 0
+        )
+        self._ports.router.handle(sent, time.monotonic())
+        kind, report = routing.Ending.CANCELLED, None
+        try:
+            received = await self._received(run, attempt)
+            kind, report = _ending(received), _report(received)
+            return await self._finish(run, attempt, received, handed)
+        except BrokenAnswer as broken:
+            kind = routing.Ending.FAILED
+            return self._broken(run, broken)
+        finally:
+            ended = routing.AttemptEnded(
+                target.host, attempt.attempt_id, kind, report
+            )
+            self._ports.router.handle(ended, time.monotonic())
+
+    async def _received(
+        self, run: CallRun, attempt: Attempt
+    ) -> sending.Received:
+        left_s = run.call.deadline - time.monotonic()
+        try:
+            async with asyncio.timeout(max(left_s, 0)):
+                return await self._ports.sender.send(attempt, run.outgoing)
+        except TimeoutError:
+            return sending.Lost(was_sent=True)
+
+    async def _finish(
+        self,
+        run: CallRun,
+        attempt: Attempt,
+        received: sending.Received,
+        handed: int,
+    ) -> Ending:
+        match received:
+            case sending.Answered(answer, _, unused):
+                run.pool.take_back(handed, unused)
+                async with answer:
+                    return await self._relay(run, received)
+            case sending.Rejected(refused, _, unused):
+                run.pool.take_back(handed, unused)
+                run.excluded.add(attempt.host)
+                return refused
+            case sending.Lost(was_sent=False):
+                run.pool.take_back(handed, handed)
+                run.excluded.add(attempt.host)
+                return Refused(Refusal.NO_UPSTREAM)
+            case sending.Lost():
+                run.excluded.add(attempt.host)
+                return await self._resolve(run, attempt, handed)
+
+    async def _resolve(
+        self, run: CallRun, attempt: Attempt, handed: int
+    ) -> Refused:
+        self._ports.tally.resolves += 1
+        refused = await self._ports.sender.resolve(attempt)
+        if refused.known_outcome is Outcome.NOT_RUN:
+            # An attempt that never ran cannot have spent its part.
+            run.pool.take_back(handed, handed)
+        _log.warning(
+            'attempt_lost',
+            request=run.call.request_id,
+            chain=run.call.chain_id,
+            host=attempt.host,
+            outcome=refused.known_outcome.value,
+        )
+        return refused
+
+    async def _relay(
+        self, run: CallRun, received: sending.Answered
+    ) -> web.StreamResponse:
+        head = answer_head(
+            received.answer.headers, {names.REQUEST_ID: run.call.request_id}
+        )
+        run.may_have_run = True
+        response = await relay(received.answer, run.request, head)
+        self._ports.budget.succeeded(time.monotonic())
+        return response
+
+    def _broken(self, run: CallRun, broken: BrokenAnswer) -> Refused:
+        self._ports.tally.broken_answers += 1
+        if broken.was_begun:
+            raise broken
+        return Refused(Refusal.UPSTREAM_BROKE)
+
+    def _may_retry(self, run: CallRun, refused: Refused) -> bool:
+        if refused.known_outcome is not Outcome.NOT_RUN:
+            run.may_have_run = True
+            if not run.call.idempotent:
+                return False
+        if refused.is_final or not run.outgoing.body.can_be_sent:
+            return False
+        now = time.monotonic()
+        if now >= run.call.deadline or not self._ports.budget.may_retry(now):
+            return False
+        if not run.pool.spend():
+            return False
+        self._ports.budget.retried(now)
+        return True
+
+
+def _share(left: int) -> int:
+    # A deep hop retries best, but a lost attempt loses what it was handed.
+    return left - 1 if left > 2 else left
+
+
+def _is_large(run: CallRun) -> bool:
+    length = run.outgoing.body.length
+    return length is None or length > REPLAYABLE_BYTES
+
+
+def _ending(received: sending.Received) -> routing.Ending:
+    match received:
+        case sending.Answered(answer):
+            if answer.status >= _SERVER_ERROR:
+                return routing.Ending.FAILED
+            return routing.Ending.DONE
+        case sending.Rejected(refused):
+            if refused.known_outcome is Outcome.NOT_RUN:
+                return routing.Ending.REFUSED
+            return routing.Ending.FAILED
+        case sending.Lost(was_sent=True):
+            return routing.Ending.SILENT
+        case sending.Lost():
+            return routing.Ending.UNREACHABLE
+
+
+def _report(received: sending.Received) -> LoadReport | None:
+    match received:
+        case sending.Answered() | sending.Rejected():
+            return received.report
+        case sending.Lost():
+            return None
+
+
+def _with_known_outcome(run: CallRun, refused: Refused) -> Refused:
+    if refused.known_outcome is Outcome.NOT_RUN and run.may_have_run:
+        return replace(refused, outcome=Outcome.UNKNOWN)
+    return refused
--- /dev/null
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -0,0 +1,291 @@
+"""Serve the requests of callers and the deeper calls of upstreams.
+
+A caller's request passes its key, its route and its workspace's rate. A
+deeper call belongs to a chain that already passed them: it inherits the
+workspace, the priority, the deadline and a part of the retry pool. Both then
+run the same way, with a claim where the route runs at most once.
+"""
+
+import time
+import uuid
+from dataclasses import dataclass
+from types import MappingProxyType
+
+import structlog
+from aiohttp import web
+
+from dragonflyknot.callers import credentials, ports
+from dragonflyknot.callers.attempts import Attempts, CallRun, Ending
+from dragonflyknot.decisions import headers as names
+from dragonflyknot.decisions.calls import Call, Outcome
+from dragonflyknot.decisions.chains import RunningCall
+from dragonflyknot.decisions.document import OPEN_WORKSPACE, Route
+from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.decisions.retry import RetryPool, spread_retry_after_s
+from dragonflyknot.exchange import sending
+from dragonflyknot.exchange.bodies import read_body
+from dragonflyknot.exchange.heads import request_head
+from dragonflyknot.exchange.hops import MAX_DEPTH
+from dragonflyknot.exchange.refusing import Refused, refusal_response
+from dragonflyknot.exchange.relaying import BrokenAnswer, abort
+
+TICKETS_PATH = '/.dragonflyknot/tickets'
+RETRY_AFTER_S = 1.0
+RETURN_MARGIN_S = 0.002
+
+_NO_HEADERS = MappingProxyType[str, str]({})
+_CLOSING = MappingProxyType({'Connection': 'close'})
+_log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """Hold a request that passed its checks and may be sent to gates."""
+
+    call: Call
+    route: Route
+    pool: RetryPool
+    has_token: bool
+
+
+class Edge:
+    """Serve requests until the daemon drains."""
+
+    def __init__(self, edge_ports: ports.EdgePorts) -> None:
+        """Keep the ports of the daemon."""
+        self._ports = edge_ports
+        self._attempts = Attempts(edge_ports)
+        self.is_draining = False
+        self.in_flight = 0
+
+    async def serve_caller(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve a request of a caller."""
+        request_id = uuid.uuid4().hex
+        if request.path == TICKETS_PATH and request.method == 'POST':
+            return self._ticket(request, request_id)
+        self.in_flight += 1
+        try:
+            return await self._serve(
+                request, request_id, await self._admit(request, request_id)
+            )
+        finally:
+            self.in_flight -= 1
+
+    async def serve_deeper(
+        self, request: web.BaseRequest, chain_id: str
+    ) -> web.StreamResponse:
+        """Serve a deeper call of a chain in flight at the upstream."""
+        request_id = uuid.uuid4().hex
+        parent = self._ports.chains.find(chain_id)
+        if parent is None:
+            refused = Refused(Refusal.CHAIN_UNKNOWN)
+            return self._refusal(refused, '', request_id, request)
+        parent.deeper_started(time.monotonic())
+        is_refused = True
+        try:
+            response = await self._serve(
+                request, request_id, self._inherit(request, parent, request_id)
+            )
+            is_refused = names.OUTCOME in response.headers
+            return response
+        finally:
+            parent.deeper_ended(time.monotonic(), refused=is_refused)
+
+    async def _admit(
+        self, request: web.BaseRequest, request_id: str
+    ) -> Admitted | Refused:
+        now = time.monotonic()
+        if self.is_draining:
+            return Refused(Refusal.DRAINING, RETRY_AFTER_S)
+        policy = self._ports.policies.current()
+        if policy is None:
+            return Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+        route = policy.routes.find(request.method, request.path)
+        if route is None:
+            return Refused(Refusal.NO_ROUTE)
+        workspace = self._workspace(request, route, now)
+        if isinstance(workspace, Refusal):
+            return Refused(workspace, _delay(workspace))
+        deadline = credentials.deadline_of(request, route.timeout_ms, now)
+        if isinstance(deadline, Refusal):
+            return Refused(deadline)
+        wait_s = await self._ports.rates.spend(workspace, request_id, deadline)
+        if wait_s is not None:
+            self._ports.tally.refused(workspace, Refusal.RATE)
+            return Refused(Refusal.RATE, wait_s)
+        return self._first_hop(route, workspace, request_id, deadline)
+
+    def _workspace(
+        self, request: web.BaseRequest, route: Route, now: float
+    ) -> str | Refusal:
+        if route.open:
+            return OPEN_WORKSPACE
+        return credentials.workspace_of(request, self._ports.keyring, now)
+
+    def _first_hop(
+        self, route: Route, workspace: str, request_id: str, deadline: float
+    ) -> Admitted:
+        call = Call(
+            request_id=request_id,
+            chain_id=request_id,
+            workspace=workspace,
+            service=route.service,
+            priority=route.priority,
+            deadline=deadline,
+            once=route.once,
+            idempotent=route.idempotent,
+        )
+        return Admitted(call, route, RetryPool(route.retries), has_token=True)
+
+    def _inherit(
+        self, request: web.BaseRequest, parent: RunningCall, request_id: str
+    ) -> Admitted | Refused:
+        policy = self._ports.policies.current()
+        if policy is None:
+            return Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+        route = policy.routes.find(request.method, request.path)
+        if route is None or parent.call.depth + 1 >= MAX_DEPTH:
+            return Refused(Refusal.NO_ROUTE)
+        deadline = credentials.deadline_of(
+            request, route.timeout_ms, time.monotonic()
+        )
+        if isinstance(deadline, Refusal):
+            return Refused(deadline)
+        call = Call(
+            request_id=request_id,
+            chain_id=parent.call.chain_id,
+            workspace=parent.call.workspace,
+            service=route.service,
+            priority=parent.call.priority,
+            deadline=min(deadline, parent.call.deadline - RETURN_MARGIN_S),
+            depth=parent.call.depth + 1,
+            once=route.once,
+            idempotent=route.idempotent,
+        )
+        return Admitted(call, route, parent.pool, has_token=False)
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        admitted: Admitted | Refused,
+    ) -> web.StreamResponse:
+        match admitted:
+            case Refused():
+                return self._refusal(admitted, '', request_id, request)
+            case Admitted():
+                return await self._run_counted(request, admitted)
+
+    async def _run_counted(
+        self, request: web.BaseRequest, admitted: Admitted
+    ) -> web.StreamResponse:
+        workspace = admitted.call.workspace
+        if admitted.has_token:
+            self._ports.tally.admitted_by_workspace[workspace] += 1
+        ending = await self._run(request, admitted)
+        if isinstance(ending, web.StreamResponse):
+            self._ports.tally.answered_by_workspace[workspace] += 1
+            return ending
+        if admitted.has_token and ending.known_outcome is Outcome.NOT_RUN:
+            self._ports.rates.give_back(workspace)
+        self._ports.tally.refused(workspace, ending.refusal)
+        return self._refusal(
+            ending, workspace, admitted.call.request_id, request
+        )
+
+    async def _run(
+        self, request: web.BaseRequest, admitted: Admitted
+    ) -> Ending:
+        if not admitted.route.once:
+            return await self._send(request, admitted)
+        key = credentials.idempotency_key_of(request)
+        if isinstance(key, Refusal):
+            return Refused(key)
+        claimed = await self._ports.operations.claim(
+            admitted.call.workspace, key, admitted.call.deadline
+        )
+        if isinstance(claimed, Refused):
+            return claimed
+        may_have_run = True
+        try:
+            ending = await self._send(request, admitted)
+            may_have_run = _may_have_run(ending)
+            return ending
+        finally:
+            self._ports.operations.settle(claimed, may_have_run=may_have_run)
+
+    async def _send(
+        self, request: web.BaseRequest, admitted: Admitted
+    ) -> Ending:
+        run = CallRun(
+            call=admitted.call,
+            request=request,
+            outgoing=sending.Outgoing(
+                method=request.method,
+                path=request.raw_path,
+                head=request_head(request.headers),
+                body=await read_body(request),
+            ),
+            pool=admitted.pool,
+        )
+        try:
+            return await self._attempts.run(run)
+        except BrokenAnswer:
+            abort(request)
+            return web.Response()
+
+    def _refusal(
+        self,
+        refused: Refused,
+        workspace: str,
+        request_id: str,
+        request: web.BaseRequest,
+    ) -> web.StreamResponse:
+        spread = refused
+        if refused.retry_after_s > 0:
+            spread = Refused(
+                refused.refusal,
+                spread_retry_after_s(refused.retry_after_s, self._ports.rng),
+                refused.outcome,
+            )
+        _log.info(
+            'refused',
+            kind=refused.refusal.value,
+            outcome=refused.known_outcome.value,
+            workspace=workspace,
+            request=request_id,
+        )
+        response = refusal_response(
+            spread, workspace, request_id, self._closing(request)
+        )
+        return response
+
+    def _closing(
+        self, request: web.BaseRequest
+    ) -> MappingProxyType[str, str]:
+        unread = request.can_read_body and not request.content.is_eof()
+        return _CLOSING if self.is_draining or unread else _NO_HEADERS
+
+    def _ticket(
+        self, request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
+        workspace = credentials.workspace_of(
+            request, self._ports.keyring, time.monotonic()
+        )
+        if isinstance(workspace, Refusal):
+            refused = Refused(workspace, _delay(workspace))
+            return self._refusal(refused, '', request_id, request)
+        ticket = self._ports.operations.issue_ticket()
+        return web.json_response({'idempotency_key': ticket})
+
+
+def _may_have_run(ending: Ending) -> bool:
+    match ending:
+        case Refused():
+            return ending.known_outcome is not Outcome.NOT_RUN
+        case web.StreamResponse():
+            return True
+
+
+def _delay(refusal: Refusal) -> float:
+    return RETRY_AFTER_S if refusal is Refusal.KEYS_STALE else 0
--- a/packages/decisions/src/dragonflyknot/decisions/calls.py
+++ b/packages/decisions/src/dragonflyknot/decisions/calls.py
@@ -64,7 +64,8 @@
     """Tell edges what a gate has room for.
 
     `threshold` is the lowest priority that the gate now admits; `limit`,
-    `running` and `queued` count requests.
+    `running` and `queued` count requests. `epoch` is the ledger epoch that
+    senders put into the ids of new attempts.
     """
 
     state: UpstreamState
@@ -72,3 +73,4 @@
     running: int
     queued: int
     threshold: int
+    epoch: int = 0
--- /dev/null
+++ b/packages/exchange/src/dragonflyknot/exchange/relaying.py
@@ -0,0 +1,109 @@
+"""Pass on a whole answer, or break the connection where it is not whole.
+
+A body is relayed only with its length or its end known. An answer that
+breaks off before anything was sent raises `BrokenAnswer`; later the
+connection to the receiver is aborted, so that a short body never looks
+whole.
+"""
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+SMALL_BYTES = 64 * 1024
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+class BrokenAnswer(Exception):
+    """Report an answer that ended before it was whole."""
+
+    def __init__(self, *, was_begun: bool) -> None:
+        """Remember whether a part of the answer was passed on."""
+        super().__init__('The answer broke off; resolve the attempt.')
+        self.was_begun = was_begun
+
+
+async def relay(
+    source: aiohttp.ClientResponse,
+    request: web.BaseRequest,
+    head: CIMultiDict[str],
+) -> web.StreamResponse:
+    """Relay an answer. Raise BrokenAnswer unless all of it was passed on."""
+    if _has_no_body(source, request):
+        return await _relay_head(source, request, head)
+    length = _length(source)
+    if length is None and not _is_chunked(source):
+        raise BrokenAnswer(was_begun=False)
+    if length is not None and length <= SMALL_BYTES:
+        return await _relay_small(source, head)
+    return await _relay_stream(source, request, head, length)
+
+
+async def _relay_head(
+    source: aiohttp.ClientResponse,
+    request: web.BaseRequest,
+    head: CIMultiDict[str],
+) -> web.StreamResponse:
+    length = source.headers.get('Content-Length')
+    if length is not None and request.method == 'HEAD':
+        head['Content-Length'] = length
+    return web.Response(status=source.status, headers=head)
+
+
+async def _relay_small(
+    source: aiohttp.ClientResponse, head: CIMultiDict[str]
+) -> web.StreamResponse:
+    try:
+        body = await source.read()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise BrokenAnswer(was_begun=False) from error
+    return web.Response(status=source.status, headers=head, body=body)
+
+
+async def _relay_stream(
+    source: aiohttp.ClientResponse,
+    request: web.BaseRequest,
+    head: CIMultiDict[str],
+    length: int | None,
+) -> web.StreamResponse:
+    response = web.StreamResponse(status=source.status, headers=head)
+    if length is None:
+        response.enable_chunked_encoding()
+    else:
+        response.content_length = length
+    await response.prepare(request)
+    try:
+        await _copy(source, response)
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        abort(request)
+        raise BrokenAnswer(was_begun=True) from error
+    return response
+
+
+async def _copy(
+    source: aiohttp.ClientResponse, response: web.StreamResponse
+) -> None:
+    async for chunk in source.content.iter_any():
+        await response.write(chunk)
+    await response.write_eof()
+
+
+def abort(request: web.BaseRequest) -> None:
+    """Break the connection, so that the receiver sees an error."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _has_no_body(
+    source: aiohttp.ClientResponse, request: web.BaseRequest
+) -> bool:
+    return request.method == 'HEAD' or source.status in _BODILESS_STATUSES
+
+
+def _length(source: aiohttp.ClientResponse) -> int | None:
+    return source.content_length
+
+
+def _is_chunked(source: aiohttp.ClientResponse) -> bool:
+    coding = source.headers.get('Transfer-Encoding', '')
+    return 'chunked' in coding.lower()
--- /dev/null
+++ b/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
@@ -0,0 +1,60 @@
+"""Keep what the upstream of this host announces of itself.
+
+An announcement is renewed by the upstream and ends when it stays silent.
+"""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from dragonflyknot.decisions.calls import UpstreamState
+
+SILENCE_S = 3.0
+
+_Service = Annotated[str, Field(min_length=1, max_length=64)]
+_Slots = Annotated[int, Field(ge=0, le=100_000)]
+_Address = Annotated[str, Field(pattern=r'^[0-9A-Fa-f.:\[\]]+:\d{1,5}$')]
+
+
+class Announcement(BaseModel):
+    """Describe an upstream: service, slots, state and address (IP:port)."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+    service: _Service
+    slots: _Slots
+    state: UpstreamState
+    address: _Address
+
+
+def parse_announcement(body: bytes) -> Result[Announcement, str]:
+    """Return the announcement, or a message that names its faults."""
+    try:
+        return Ok(Announcement.model_validate_json(body))
+    except ValidationError as error:
+        faults = '; '.join(
+            f'{".".join(str(part) for part in fault["loc"])}: {fault["msg"]}'
+            for fault in error.errors()
+        )
+        return Err(f'Correct the announcement and send it again: {faults}')
+
+
+class Announcer:
+    """Hold the latest announcement while it is renewed."""
+
+    def __init__(self) -> None:
+        """Start without an upstream."""
+        self._announcement: Announcement | None = None
+        self._renewed_at = 0.0
+
+    def renew(self, announcement: Announcement, now: float) -> None:
+        """Keep an announcement for `SILENCE_S` seconds."""
+        self._announcement = announcement
+        self._renewed_at = now
+
+    def current(self, now: float) -> Announcement | None:
+        """Return the announcement in force, or None after silence."""
+        if self._announcement is None or now - self._renewed_at > SILENCE_S:
+            return None
+        return self._announcement
--- /dev/null
+++ b/packages/upstreams/src/dragonflyknot/upstreams/dispatch.py
@@ -0,0 +1,95 @@
+"""Send an admitted attempt to the upstream and relay its answer.
+
+Only a connection that could not be opened, or an answer that says so, means
+that the request did not run. Any other failure may have run.
+"""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+import aiohttp
+from aiohttp import web
+from yarl import URL
+
+from dragonflyknot.decisions import headers as names
+from dragonflyknot.decisions.calls import Call, Outcome
+from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.exchange.bodies import RequestBody, read_body
+from dragonflyknot.exchange.heads import request_head
+from dragonflyknot.exchange.hops import MS_PER_SECOND
+from dragonflyknot.exchange.refusing import Refused
+
+_DEFAULT_RETRY_AFTER_S = 1.0
+_UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Describe one request to the upstream at `address` (IP:port)."""
+
+    address: str
+    chain_id: str
+    call: Call
+    request: web.BaseRequest
+
+
+async def send_to_upstream(
+    session: aiohttp.ClientSession, dispatch: Dispatch
+) -> aiohttp.ClientResponse | Refused:
+    """Return the head of the upstream's answer, or why there is none."""
+    body = await read_body(dispatch.request)
+    left_s = dispatch.call.deadline - time.monotonic()
+    try:
+        async with asyncio.timeout(max(left_s, 0)):
+            answer = await _request(session, dispatch, body, left_s)
+    except aiohttp.ClientConnectorError:
+        return Refused(Refusal.NO_UPSTREAM, _DEFAULT_RETRY_AFTER_S)
+    except (TimeoutError, aiohttp.SocketTimeoutError):
+        return Refused(Refusal.UPSTREAM_SILENT)
+    except (aiohttp.ClientError, OSError):
+        return Refused(Refusal.UPSTREAM_BROKE)
+    refused = _refusal_of_upstream(answer)
+    if refused is None:
+        return answer
+    answer.release()
+    return refused
+
+
+async def _request(
+    session: aiohttp.ClientSession,
+    dispatch: Dispatch,
+    body: RequestBody,
+    left_s: float,
+) -> aiohttp.ClientResponse:
+    extra = {
+        names.CHAIN: dispatch.chain_id,
+        names.REQUEST_ID: dispatch.call.request_id,
+        names.REQUEST_TIMEOUT: str(max(int(left_s * MS_PER_SECOND), 1)),
+    }
+    url = URL(
+        f'http://{dispatch.address}{dispatch.request.raw_path}', encoded=True
+    )
+    return await session.request(
+        dispatch.request.method,
+        url,
+        headers=request_head(dispatch.request.headers, extra),
+        data=body.content(),
+        expect100=body.is_streamed,
+        allow_redirects=False,
+    )
+
+
+def _refusal_of_upstream(answer: aiohttp.ClientResponse) -> Refused | None:
+    if answer.status != _UNAVAILABLE:
+        return None
+    if answer.headers.get(names.OUTCOME) != Outcome.NOT_RUN.value:
+        return None
+    return Refused(Refusal.SHED, _retry_after_s(answer))
+
+
+def _retry_after_s(answer: aiohttp.ClientResponse) -> float:
+    text = answer.headers.get(names.RETRY_AFTER, '')
+    if text.isascii() and text.isdigit() and len(text) < 5:
+        return float(text)
+    return _DEFAULT_RETRY_AFTER_S
--- /dev/null
+++ b/packages/upstreams/src/dragonflyknot/upstreams/gate.py
@@ -0,0 +1,242 @@
+"""Take attempts of edges to the upstream of this host.
+
+An attempt passes the ledger, waits for its turn, runs at the upstream as a
+call in flight and ends in the ledger. Every answer carries the load of the
+gate, so that edges learn what it has room for.
+"""
+
+import time
+import uuid
+from dataclasses import dataclass, replace
+
+import aiohttp
+import structlog
+from aiohttp import web
+
+from dragonflyknot.decisions import admission, ledger
+from dragonflyknot.decisions import headers as names
+from dragonflyknot.decisions.calls import (
+    Attempt,
+    LoadReport,
+    Outcome,
+    UpstreamState,
+)
+from dragonflyknot.decisions.chains import Chains, RunningCall
+from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.exchange.heads import answer_head
+from dragonflyknot.exchange.hops import encode_load
+from dragonflyknot.exchange.refusing import Refused, refusal_response
+from dragonflyknot.exchange.relaying import BrokenAnswer, relay
+from dragonflyknot.exchange.tally import Tally
+from dragonflyknot.upstreams.announcements import Announcement, Announcer
+from dragonflyknot.upstreams.dispatch import Dispatch, send_to_upstream
+from dragonflyknot.upstreams.turns import Turns
+
+_SERVER_ERROR = 500
+_FINAL = 'final'
+_LOCAL = 'local'
+_log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class GatePorts:
+    """Bundle what the gate needs from the rest of the daemon."""
+
+    turns: Turns
+    ledger: ledger.Ledger
+    chains: Chains
+    announcer: Announcer
+    session: aiohttp.ClientSession
+    tally: Tally
+
+
+class Gate:
+    """Serve attempts until the daemon drains."""
+
+    def __init__(self, ports: GatePorts) -> None:
+        """Keep the ports of the daemon."""
+        self._ports = ports
+        self.is_draining = False
+        self.in_flight = 0
+
+    def report(self) -> LoadReport:
+        """Return the load that answers and gossip carry."""
+        report = self._ports.turns.report()
+        if self.is_draining:
+            report = replace(report, state=UpstreamState.DRAINING)
+        return replace(
+            report, epoch=self._ports.ledger.epoch(time.monotonic())
+        )
+
+    async def serve(
+        self, attempt: Attempt, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Serve an attempt that a peer sent."""
+        self.in_flight += 1
+        try:
+            return await self._serve(attempt, request)
+        finally:
+            self.in_flight -= 1
+
+    def resolve(self, attempt_id: str, incarnation: int) -> ledger.Resolved:
+        """Answer what became of an attempt; *never* binds."""
+        return self._ports.ledger.resolve(
+            attempt_id, incarnation, time.monotonic()
+        )
+
+    async def _serve(
+        self, attempt: Attempt, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        refused = self._offer(attempt) or await self._turn(attempt)
+        if refused is None:
+            return await self._run(attempt, request)
+        response = self._refuse(attempt, refused)
+        if request.can_read_body and not request.content.is_eof():
+            response.force_close()
+        return response
+
+    def _offer(self, attempt: Attempt) -> Refused | None:
+        if self.is_draining:
+            return Refused(Refusal.DRAINING)
+        offered = self._ports.ledger.offer(
+            attempt.attempt_id, attempt.incarnation, time.monotonic()
+        )
+        match offered:
+            case ledger.Accepted():
+                return None
+            case ledger.WrongIncarnation():
+                return Refused(Refusal.WRONG_INCARNATION)
+            case ledger.Revoked():
+                return Refused(Refusal.REVOKED)
+            case ledger.Duplicate():
+                return Refused(Refusal.UPSTREAM_BROKE)
+
+    async def _turn(self, attempt: Attempt) -> Refused | None:
+        has_started = False
+        try:
+            refused = await self._ports.turns.take(attempt)
+            now = time.monotonic()
+            has_started = refused is None and self._ports.ledger.started(
+                attempt.attempt_id, now
+            )
+        finally:
+            if not has_started:
+                self._ports.ledger.never_ran(
+                    attempt.attempt_id, time.monotonic()
+                )
+        if has_started or refused is not None:
+            return refused
+        self._ports.turns.tell(admission.Cancelled(attempt.attempt_id))
+        return Refused(Refusal.REVOKED)
+
+    async def _run(
+        self, attempt: Attempt, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        chain_id = uuid.uuid4().hex
+        running = self._ports.chains.open(chain_id, attempt.call)
+        began = time.monotonic()
+        verdict: admission.Verdict | None = None
+        try:
+            response, verdict = await self._exchange(
+                attempt, request, chain_id, running
+            )
+            return response
+        finally:
+            self._ports.chains.close(chain_id)
+            self._end(attempt, running, began, verdict)
+
+    async def _exchange(
+        self,
+        attempt: Attempt,
+        request: web.BaseRequest,
+        chain_id: str,
+        running: RunningCall,
+    ) -> tuple[web.StreamResponse, admission.Verdict]:
+        announcement = self._announcement()
+        if announcement is None:
+            refused = Refused(Refusal.NO_UPSTREAM)
+            return self._failed(attempt, running, refused)
+        dispatch = Dispatch(
+            announcement.address, chain_id, attempt.call, request
+        )
+        answer = await send_to_upstream(self._ports.session, dispatch)
+        if isinstance(answer, Refused):
+            return self._failed(attempt, running, answer)
+        async with answer:
+            return await self._relay(attempt, request, running, answer)
+
+    async def _relay(
+        self,
+        attempt: Attempt,
+        request: web.BaseRequest,
+        running: RunningCall,
+        answer: aiohttp.ClientResponse,
+    ) -> tuple[web.StreamResponse, admission.Verdict]:
+        extra = {
+            names.HOP_LOAD: encode_load(self.report()),
+            names.HOP_RETRIES_UNUSED: str(running.pool.seal()),
+        }
+        try:
+            response = await relay(
+                answer, request, answer_head(answer.headers, extra)
+            )
+        except BrokenAnswer as broken:
+            self._ports.tally.broken_answers += 1
+            if broken.was_begun:
+                raise
+            refused = Refused(Refusal.UPSTREAM_BROKE)
+            return self._failed(attempt, running, refused)
+        if answer.status >= _SERVER_ERROR:
+            return response, admission.Verdict.FAILED
+        return response, admission.Verdict.SUCCEEDED
+
+    def _failed(
+        self, attempt: Attempt, running: RunningCall, refused: Refused
+    ) -> tuple[web.StreamResponse, admission.Verdict]:
+        verdict = admission.Verdict.FAILED
+        if refused.known_outcome is Outcome.NOT_RUN:
+            self._ports.ledger.never_ran(attempt.attempt_id, time.monotonic())
+            verdict = admission.Verdict.REFUSED
+        final = replace(refused, is_final=running.is_deeper_refused)
+        unused = running.pool.seal()
+        return self._refuse(attempt, final, unused), verdict
+
+    def _end(
+        self,
+        attempt: Attempt,
+        running: RunningCall,
+        began: float,
+        verdict: admission.Verdict | None,
+    ) -> None:
+        now = time.monotonic()
+        self._ports.ledger.finished(attempt.attempt_id, False, now)
+        if verdict is None:
+            self._ports.tally.cancelled += 1
+            self._ports.turns.tell(admission.Cancelled(attempt.attempt_id))
+            return
+        self._ports.turns.tell(
+            admission.Finished(
+                attempt.attempt_id, now - began, verdict, running.deeper_s
+            )
+        )
+
+    def _announcement(self) -> Announcement | None:
+        return self._ports.announcer.current(time.monotonic())
+
+    def _refuse(
+        self, attempt: Attempt, refused: Refused, unused: int | None = None
+    ) -> web.StreamResponse:
+        self._ports.tally.gate_refused_by_kind[refused.refusal] += 1
+        left = attempt.call.retries if unused is None else unused
+        extra = {
+            names.HOP_LOAD: encode_load(self.report()),
+            names.HOP_RETRIES_UNUSED: str(left),
+            names.HOP_REFUSAL: f'{refused.refusal.value};{_reach(refused)}',
+        }
+        return refusal_response(
+            refused, attempt.call.workspace, attempt.call.request_id, extra
+        )
+
+
+def _reach(refused: Refused) -> str:
+    return _FINAL if refused.is_final else _LOCAL
--- /dev/null
+++ b/packages/upstreams/src/dragonflyknot/upstreams/listener.py
@@ -0,0 +1,85 @@
+"""Serve what the upstream of this host sends: announcements, deeper calls.
+
+A deeper call carries the chain id of a request in flight. Anything else on
+this listener is refused, so that nobody gets around the edge's checks.
+"""
+
+import time
+from typing import Protocol
+
+from aiohttp import web
+from result import Err, Ok
+
+from dragonflyknot.decisions import headers as names
+from dragonflyknot.decisions.admission import Announced
+from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.exchange.refusing import Refused, refusal_response
+from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.upstreams.announcements import (
+    Announcement,
+    Announcer,
+    parse_announcement,
+)
+from dragonflyknot.upstreams.turns import Turns
+
+ANNOUNCEMENT_PATH = '/.dragonflyknot/announcement'
+MAX_ANNOUNCEMENT_BYTES = 4096
+
+
+class DeeperCalls(Protocol):
+    """Serve the deeper calls of a chain in flight."""
+
+    async def serve_deeper(
+        self, request: web.BaseRequest, chain_id: str
+    ) -> web.StreamResponse:
+        """Serve one deeper call."""
+
+
+class UpstreamListener:
+    """Handle the requests of the upstream."""
+
+    def __init__(
+        self, announcer: Announcer, turns: Turns, deeper: DeeperCalls
+    ) -> None:
+        """Keep the announcer, the gate's queue and the edge."""
+        self._announcer = announcer
+        self._turns = turns
+        self._deeper = deeper
+        self._announced: Announcement | None = None
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve a request on the listener for the upstream."""
+        if request.path == ANNOUNCEMENT_PATH:
+            return await self._announce(request)
+        chain_id = request.headers.get(names.CHAIN)
+        if chain_id is None:
+            return refusal_response(Refused(Refusal.CHAIN_UNKNOWN), '', '')
+        return await self._deeper.serve_deeper(request, chain_id)
+
+    def check_silence(self) -> None:
+        """Tell the gate when the upstream has stopped renewing."""
+        if self._announced is None:
+            return
+        if self._announcer.current(time.monotonic()) is None:
+            self._announced = None
+            self._turns.tell(Announced(0, UpstreamState.GONE))
+
+    async def _announce(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.method != 'PUT':
+            return web.json_response(
+                {'message': 'Send the announcement with PUT.'}, status=405
+            )
+        body = await request.content.read(MAX_ANNOUNCEMENT_BYTES)
+        match parse_announcement(body):
+            case Ok(announcement):
+                self._renew(announcement)
+                return web.json_response({'renew_within_s': 1})
+            case Err(message):
+                return web.json_response({'message': message}, status=400)
+
+    def _renew(self, announcement: Announcement) -> None:
+        self._announcer.renew(announcement, time.monotonic())
+        if announcement == self._announced:
+            return
+        self._announced = announcement
+        self._turns.tell(Announced(announcement.slots, announcement.state))
