--- a/packages/decisions/src/dragonflyknot/decisions/calls.py
+++ b/packages/decisions/src/dragonflyknot/decisions/calls.py
@@ -63,8 +63,9 @@
 class LoadReport:
     """Tell edges what a gate has room for.
 
-    `threshold` is the lowest priority that the gate now admits; `limit`,
-    `running` and `queued` count requests.
+    `threshold` is the lowest priority that the gate now admits, `prompt`
+    the lowest that starts without a long wait; `limit`, `running` and
+    `queued` count requests.
     """
 
     state: UpstreamState
@@ -72,3 +73,4 @@
     running: int
     queued: int
     threshold: int
+    prompt: int = 0
--- /dev/null
+++ b/packages/decisions/src/dragonflyknot/decisions/concurrency.py
@@ -0,0 +1,228 @@
+"""How many requests a gate lets run at its upstream.
+
+The slots that the upstream announces are a ceiling. Below it the limit
+follows what the gate measures, in windows of some completions: mean latency
+against the lowest window seen, refusals and failures. A limit that is
+lowered without bringing latency down is put back, since then the slowness
+does not come from the number of requests. A cold start ramps up.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum, unique
+from math import exp2
+
+WINDOW_S = 0.1
+WINDOW_SAMPLES = 32
+BASELINE_LIFE_S = 60.0
+CONGESTED_RATIO = 2.0
+CALM_RATIO = 1.5
+SHRINK = 0.85
+GROWTH = 1.15
+HOLD_OFF_S = 5.0
+MIN_GAIN = 0.93
+COLD_START_FRACTION = 0.125
+COLD_START_GROWTH = 1.5
+ESTIMATE_LIFE_S = 1.0
+MEAN_WEIGHT = 0.05
+LOW_WEIGHT_DOWN = 0.3
+LOW_WEIGHT_UP = 0.02
+
+
+@unique
+class Verdict(Enum):
+    """Say how an upstream ended a request."""
+
+    SUCCEEDED = 'succeeded'
+    FAILED = 'failed'
+    REFUSED = 'refused'
+    TIMED_OUT = 'timed-out'
+
+
+@dataclass(slots=True)
+class _Latency:
+    """Track the latency of one priority, in seconds."""
+
+    mean_s: float = 0
+    low_s: float = 0
+    seen_at: float = 0
+    lowest_s: float = 0
+    lowest_at: float = 0
+    window_sum_s: float = 0
+    window_count: int = 0
+
+
+@dataclass(slots=True)
+class _Window:
+    """Gather completions until the next decision about the limit."""
+
+    opened_at: float = 0
+    done: int = 0
+    refused: int = 0
+    failed: int = 0
+    busy: int = 0
+
+
+@dataclass(slots=True)
+class ConcurrencyLimit:
+    """Set the number of requests that may run at once."""
+
+    slots: int = 0
+    _limit: float = 0
+    _ramping: bool = False
+    _held_until: float = 0
+    _trial_limit: float = 0
+    _trial_rate: float = 0
+    _window: _Window = field(default_factory=_Window)
+    _latencies_by_priority: dict[int, _Latency] = field(default_factory=dict)
+
+    @property
+    def limit(self) -> int:
+        """Return the number of requests that may run at once."""
+        return min(self.slots, max(1, int(self._limit)))
+
+    def announce(self, slots: int) -> None:
+        """Follow a change of the announced slots of a running upstream."""
+        if not self._ramping and self._limit >= self.slots:
+            self._limit = slots
+        self.slots = max(0, slots)
+        self._limit = min(self._limit, self.slots)
+
+    def cold_start(self, slots: int, now: float) -> None:
+        """Ramp up from a fraction of the slots."""
+        self.slots = max(0, slots)
+        self._limit = max(1, slots * COLD_START_FRACTION)
+        self._ramping = True
+        self._trial_rate = 0
+        self._latencies_by_priority.clear()
+        self._window = _Window(now)
+
+    def mean_s(self, priority: int) -> float:
+        """Return the mean latency of a priority, 0 before the first one."""
+        latency = self._latencies_by_priority.get(priority)
+        return latency.mean_s if latency else 0
+
+    def least_s(self, priority: int, now: float) -> float:
+        """Return a low estimate of the latency that a start would have.
+
+        It fades while nothing completes, so that a wrong estimate can't
+        keep everything out.
+        """
+        latency = self._latencies_by_priority.get(priority)
+        if latency is None:
+            return 0
+        idle_s = max(0, now - latency.seen_at - latency.low_s)
+        return latency.low_s * exp2(-idle_s / ESTIMATE_LIFE_S)
+
+    def observe(
+        self,
+        priority: int,
+        own_s: float,
+        verdict: Verdict,
+        running: int,
+        now: float,
+    ) -> None:
+        """Learn from one completion.
+
+        `own_s` is the latency less the time spent in deeper calls;
+        `running` counts requests at the upstream before it ended.
+        """
+        window = self._window
+        window.done += 1
+        if running >= self.limit * 0.8:
+            window.busy += 1
+        match verdict:
+            case Verdict.SUCCEEDED:
+                self._sample(priority, own_s, now)
+            case Verdict.REFUSED:
+                window.refused += 1
+            case Verdict.FAILED:
+                window.failed += 1
+            case Verdict.TIMED_OUT:
+                window.failed += 1
+                self._sample(priority, own_s, now)
+        elapsed_s = now - window.opened_at
+        if elapsed_s >= WINDOW_S and (
+            window.done >= WINDOW_SAMPLES or elapsed_s >= 10 * WINDOW_S
+        ):
+            self._decide(window, elapsed_s, now)
+            self._window = _Window(now)
+
+    def _sample(self, priority: int, own_s: float, now: float) -> None:
+        latency = self._latencies_by_priority.get(priority)
+        if latency is None:
+            latency = _Latency(mean_s=own_s, low_s=own_s)
+            self._latencies_by_priority[priority] = latency
+        latency.mean_s += MEAN_WEIGHT * (own_s - latency.mean_s)
+        rising = own_s > latency.low_s
+        weight = LOW_WEIGHT_UP if rising else LOW_WEIGHT_DOWN
+        latency.low_s += weight * (own_s - latency.low_s)
+        latency.seen_at = now
+        latency.window_sum_s += own_s
+        latency.window_count += 1
+
+    def _decide(self, window: _Window, elapsed_s: float, now: float) -> None:
+        ratio = self._latency_ratio(now)
+        rate = window.done / elapsed_s
+        if window.refused or window.failed * 2 > window.done:
+            self._ramping = False
+            self._limit = max(1, self._limit * SHRINK)
+        elif self._trial_rate:
+            self._judge_trial(rate, ratio, now)
+        elif window.busy * 2 > window.done:
+            self._follow_latency(rate, ratio, now)
+
+    def _follow_latency(self, rate: float, ratio: float, now: float) -> None:
+        held = now < self._held_until
+        if ratio <= CALM_RATIO or held:
+            self._grow()
+        elif ratio > CONGESTED_RATIO:
+            self._ramping = False
+            self._begin_trial(rate)
+
+    def _begin_trial(self, rate: float) -> None:
+        self._trial_rate = rate
+        self._trial_limit = self._limit
+        self._limit = max(1, self._limit * SHRINK)
+
+    def _judge_trial(self, rate: float, ratio: float, now: float) -> None:
+        if rate < self._trial_rate * MIN_GAIN:
+            self._limit = self._trial_limit
+            self._held_until = now + HOLD_OFF_S
+            self._trial_rate = 0
+        elif ratio > CONGESTED_RATIO:
+            self._begin_trial(max(rate, self._trial_rate))
+        else:
+            self._trial_rate = 0
+
+    def _grow(self) -> None:
+        factor = COLD_START_GROWTH if self._ramping else GROWTH
+        self._limit = min(self.slots, self._limit * factor + 1)
+        if self._limit >= self.slots:
+            self._ramping = False
+
+    def _latency_ratio(self, now: float) -> float:
+        """Return the window's mean latency over the lowest one."""
+        weighted = float(0)
+        count = 0
+        for latency in self._latencies_by_priority.values():
+            if not latency.window_count:
+                continue
+            ratio = _close_latency(latency, now)
+            weighted += ratio * latency.window_count
+            count += latency.window_count
+            latency.window_sum_s = 0
+            latency.window_count = 0
+        return weighted / count if count else 1
+
+
+def _close_latency(latency: _Latency, now: float) -> float:
+    mean_s = latency.window_sum_s / latency.window_count
+    enough = latency.window_count >= WINDOW_SAMPLES / 4
+    stale = now - latency.lowest_at > BASELINE_LIFE_S
+    lower = mean_s < latency.lowest_s or not latency.lowest_s
+    if (lower and enough) or stale:
+        latency.lowest_s = mean_s
+        latency.lowest_at = now
+    if not latency.lowest_s:
+        return 1
+    return mean_s / latency.lowest_s
--- /dev/null
+++ b/packages/decisions/src/dragonflyknot/decisions/routing.py
@@ -0,0 +1,344 @@
+"""Which target gets the next attempt of a call.
+
+Of two random candidates the less loaded one wins. The own data centre goes
+first, then the own region; the other region only when no nearer target has
+room for that priority, and for large bodies only when no nearer gate admits
+them at all, since the link between regions is slow and paid for by volume.
+What a target is known to be stands in `targets.py`.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dragonflyknot.decisions.calls import LoadReport, UpstreamState
+from dragonflyknot.decisions.randomness import Randomness
+from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.decisions.targets import Distance, Ending, TargetState
+
+__all__ = (
+    'AttemptEnded',
+    'AttemptSent',
+    'Ending',
+    'NoTarget',
+    'Router',
+    'Target',
+    'TargetGone',
+    'TargetSeen',
+)
+
+DRAWS = 4
+MAX_EJECTED_SHARE = 0.5
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSeen:
+    """Report what gossip or the table says about a target."""
+
+    host: str
+    incarnation: int
+    service: str
+    data_center: str
+    region: str
+    state: UpstreamState
+    report: LoadReport | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TargetGone:
+    """Report that a target left."""
+
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptSent:
+    """Report that an attempt with a body of so many bytes is on its way."""
+
+    host: str
+    attempt_id: str
+    body_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """Report the end of an attempt and the load that came with it."""
+
+    host: str
+    attempt_id: str
+    ending: Ending
+    report: LoadReport | None = None
+    answer_bytes: int = 0
+
+
+Event = TargetSeen | TargetGone | AttemptSent | AttemptEnded
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Name the gate that gets the attempt."""
+
+    host: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoTarget:
+    """Say why no gate gets the attempt; the delay is in seconds."""
+
+    refusal: Refusal
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class _Group:
+    """Hold the targets of one service by distance."""
+
+    by_distance: dict[Distance, list[TargetState]] = field(
+        default_factory=lambda: {distance: [] for distance in Distance}
+    )
+
+    def targets(self) -> list[TargetState]:
+        """Return all targets, nearest first."""
+        return [one for tier in self.by_distance.values() for one in tier]
+
+
+_Test = Callable[[TargetState], bool]
+
+
+class Router:
+    """Choose targets for the attempts of one daemon."""
+
+    def __init__(self, host: str, data_center: str, region: str) -> None:
+        """Start without targets at a known place."""
+        self.host = host
+        self.link_bytes = 0
+        self._data_center = data_center
+        self._region = region
+        self._targets_by_host: dict[str, TargetState] = {}
+        self._groups_by_service: dict[str, _Group] = {}
+
+    def handle(self, event: Event, now: float) -> None:
+        """Take an event."""
+        match event:
+            case TargetSeen():
+                self._see(event, now)
+            case TargetGone(host):
+                self._forget(host)
+            case AttemptSent(host, attempt_id, body_bytes):
+                target = self._targets_by_host.get(host)
+                if target is not None:
+                    target.attempt_ids.add(attempt_id)
+                    self._count_link(target, body_bytes)
+            case AttemptEnded():
+                self._end(event, now)
+
+    def choose(
+        self,
+        service: str,
+        priority: int,
+        excluded: frozenset[str],
+        large: bool,
+        now: float,
+        rng: Randomness,
+    ) -> Target | NoTarget:
+        """Return the target of an attempt, or why there is none.
+
+        `large` marks bodies that should stay off the link between regions;
+        `excluded` names the hosts that this call has already tried.
+        """
+        group = self._groups_by_service.get(service)
+        if group is None:
+            return NoTarget(Refusal.NO_UPSTREAM, RETRY_AFTER_S)
+        choice = _Choice(group, priority, excluded, now, rng)
+        target = choice.best(large)
+        if target is None:
+            return NoTarget(choice.refusal(), RETRY_AFTER_S)
+        if not choice.is_invited(target):
+            target.probed_at = now
+        return Target(target.host, target.incarnation)
+
+    def in_flight(self, host: str) -> int:
+        """Return how many attempts of this daemon are at a host."""
+        target = self._targets_by_host.get(host)
+        return len(target.attempt_ids) if target else 0
+
+    def targets(self) -> tuple[TargetState, ...]:
+        """Return what is known, for the state dump."""
+        return tuple(self._targets_by_host.values())
+
+    def _see(self, event: TargetSeen, now: float) -> None:
+        known = self._targets_by_host.get(event.host)
+        if known is not None and known.incarnation > event.incarnation:
+            return
+        if known is None or _is_replaced(known, event):
+            self._forget(event.host)
+            known = self._add(event)
+        known.hear(event.state, now)
+        if event.report is not None:
+            known.overhear(event.report, now)
+
+    def _add(self, event: TargetSeen) -> TargetState:
+        target = TargetState(
+            host=event.host,
+            incarnation=event.incarnation,
+            service=event.service,
+            data_center=event.data_center,
+            region=event.region,
+            distance=self._distance(event.data_center, event.region),
+            state=event.state,
+        )
+        self._targets_by_host[event.host] = target
+        group = self._groups_by_service.setdefault(event.service, _Group())
+        group.by_distance[target.distance].append(target)
+        return target
+
+    def _forget(self, host: str) -> None:
+        target = self._targets_by_host.pop(host, None)
+        if target is None:
+            return
+        group = self._groups_by_service[target.service]
+        group.by_distance[target.distance].remove(target)
+        if not group.targets():
+            self._groups_by_service.pop(target.service)
+
+    def _end(self, event: AttemptEnded, now: float) -> None:
+        target = self._targets_by_host.get(event.host)
+        if target is None or event.attempt_id not in target.attempt_ids:
+            return
+        target.attempt_ids.discard(event.attempt_id)
+        self._count_link(target, event.answer_bytes)
+        if event.report is not None:
+            target.learn(event.report, now)
+        if target.ended(event.ending, now) and self._may_eject(target, now):
+            target.eject(now)
+
+    def _may_eject(self, target: TargetState, now: float) -> bool:
+        everyone = self._groups_by_service[target.service].targets()
+        ejected = sum(1 for one in everyone if one.ejected_until > now)
+        return ejected + 1 <= len(everyone) * MAX_EJECTED_SHARE
+
+    def _count_link(self, target: TargetState, count: int) -> None:
+        if target.distance is Distance.FAR:
+            self.link_bytes += count
+
+    def _distance(self, data_center: str, region: str) -> Distance:
+        if data_center == self._data_center:
+            return Distance.DATA_CENTER
+        return Distance.REGION if region == self._region else Distance.FAR
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """Find the target of one attempt."""
+
+    group: _Group
+    priority: int
+    excluded: frozenset[str]
+    now: float
+    rng: Randomness
+
+    def best(self, large: bool) -> TargetState | None:
+        """Return the best target for a small or a large body."""
+        far = (Distance.FAR,)
+        near = (Distance.REGION, Distance.DATA_CENTER)
+        tiers = (
+            ((Distance.DATA_CENTER,), self._prompt),
+            ((Distance.REGION,), self._prompt),
+            *_far_order(large, far, near, self),
+            (tuple(Distance), self._last_resort),
+        )
+        for distances, test in tiers:
+            pool = self._pool(distances)
+            target = self._draw(pool, test)
+            if target is not None:
+                return target
+        return None
+
+    def is_invited(self, target: TargetState) -> bool:
+        """Return whether the last report of the target admits the attempt."""
+        report = target.report
+        return report is None or report.prompt <= self.priority
+
+    def refusal(self) -> Refusal:
+        """Return why no target was found."""
+        everyone = self.group.targets()
+        if any(one.accepts() for one in everyone):
+            return Refusal.SHED
+        if any(one.state is UpstreamState.DRAINING for one in everyone):
+            return Refusal.DRAINING
+        return Refusal.NO_UPSTREAM
+
+    def _pool(self, distances: tuple[Distance, ...]) -> list[TargetState]:
+        if len(distances) == 1:
+            return self.group.by_distance[distances[0]]
+        return [
+            one
+            for distance in distances
+            for one in self.group.by_distance[distance]
+        ]
+
+    def _draw(self, pool: list[TargetState], test: _Test) -> TargetState | None:
+        """Return the less loaded of two random targets that pass a test."""
+        if len(pool) > DRAWS:
+            drawn = [self._any(pool) for _ in range(DRAWS)]
+            passing = [one for one in drawn if test(one)]
+            if passing:
+                return min(passing[:2], key=self._load)
+        passing = [one for one in pool if test(one)]
+        if len(passing) > 2:
+            first = self._any(passing)
+            passing.remove(first)
+            passing = [first, self._any(passing)]
+        return min(passing, key=self._load, default=None)
+
+    def _any(self, pool: list[TargetState]) -> TargetState:
+        return pool[self.rng.randrange(len(pool))]
+
+    def _load(self, target: TargetState) -> float:
+        return target.load(self.now)
+
+    def _usable(self, target: TargetState) -> bool:
+        if target.host in self.excluded or not target.accepts():
+            return False
+        if not target.is_healthy(self.now):
+            return False
+        return self.rng.random() < target.return_share(self.now)
+
+    def _prompt(self, target: TargetState) -> bool:
+        return self._usable(target) and target.is_prompt(
+            self.priority, self.now
+        )
+
+    def _admitting(self, target: TargetState) -> bool:
+        return self._usable(target) and target.admits(self.priority, self.now)
+
+    def _last_resort(self, target: TargetState) -> bool:
+        """Accept a suspect target, but never one that is ejected."""
+        return (
+            target.host not in self.excluded
+            and target.accepts()
+            and self.now >= target.ejected_until
+            and target.admits(self.priority, self.now)
+        )
+
+
+def _far_order(
+    large: bool,
+    far: tuple[Distance, ...],
+    near: tuple[Distance, ...],
+    choice: _Choice,
+) -> tuple[tuple[tuple[Distance, ...], _Test], ...]:
+    prompt = (far, choice._prompt)
+    if large:
+        return ((near, choice._admitting), prompt, (far, choice._admitting))
+    return (prompt, (near, choice._admitting), (far, choice._admitting))
+
+
+def _is_replaced(known: TargetState, event: TargetSeen) -> bool:
+    return (
+        known.incarnation != event.incarnation
+        or known.service != event.service
+        or known.data_center != event.data_center
+        or known.region != event.region
+    )
