--- a/packages/exchange/src/dragonflyknot/exchange/hops.py
+++ b/packages/exchange/src/dragonflyknot/exchange/hops.py
@@ -49,6 +49,7 @@
     running: _Count
     queued: _Count
     threshold: Annotated[int, Field(ge=0, le=10)]
+    prompt: Annotated[int, Field(ge=0, le=10)] = 0
     epoch: _Count = 0
 
 
@@ -101,6 +102,7 @@
         running=report.running,
         queued=report.queued,
         threshold=report.threshold,
+        prompt=report.prompt,
         epoch=report.epoch,
     ).model_dump_json()
 
@@ -119,5 +121,6 @@
         running=wire.running,
         queued=wire.queued,
         threshold=wire.threshold,
+        prompt=wire.prompt,
         epoch=wire.epoch,
     )
