Keep the ledger's epoch while a gate is quiet

Cause: an edge that speaks to a quiet gate once in a few minutes knew only an epoch that the gate had left, and was refused each time. An epoch now also needs 256 attempts before it ends.

--- a/packages/decisions/src/dragonflyknot/decisions/ledger.py
+++ b/packages/decisions/src/dragonflyknot/decisions/ledger.py
@@ -2,8 +2,10 @@
 
 An attempt is addressed to an incarnation of a gate and its id starts with
 the ledger epoch that the edge last heard from that gate (see
-`name_attempt`). Epochs advance on the gate's own clock, or earlier when an
-epoch has filled up, so no clocks are compared and memory is bounded:
+`name_attempt`). An epoch lasts some seconds on the gate's own clock, longer
+while few attempts come, and less when it has filled up. So no clocks are
+compared, memory is bounded, and edges that speak to a quiet gate now and
+then still know an epoch that it accepts:
 
 * an attempt of an epoch that is still accepted runs at most once;
 * an attempt of an older epoch that is still kept is refused, and as the
@@ -18,7 +20,8 @@
 EPOCH_S = 10.0
 ACCEPTED_EPOCHS = 6
 KEPT_EPOCHS = 12
-EPOCH_ATTEMPTS = 8192
+QUIET_EPOCH_ATTEMPTS = 256
+FULL_EPOCH_ATTEMPTS = 8192
 _NO_EPOCH = -1
 
 
@@ -99,10 +102,13 @@
 class Ledger:
     """Remember every attempt of the current and the latest epochs."""
 
-    def __init__(self, incarnation: int, epoch_attempts: int = 0) -> None:
-        """Start empty; `epoch_attempts` bounds the attempts of an epoch."""
+    def __init__(
+        self, incarnation: int, full_epoch: int = FULL_EPOCH_ATTEMPTS
+    ) -> None:
+        """Start empty; `full_epoch` bounds the attempts of an epoch."""
         self.incarnation = incarnation
-        self._epoch_attempts = epoch_attempts or EPOCH_ATTEMPTS
+        self._full_epoch = full_epoch
+        self._quiet_epoch = min(QUIET_EPOCH_ATTEMPTS, full_epoch)
         self._incarnations = {incarnation}
         self._states_by_attempt: dict[str, _State] = {}
         self._attempts_by_epoch: dict[int, list[str]] = {0: []}
@@ -124,7 +130,9 @@
         """Return the epoch that senders put into their attempt ids."""
         if self._epoch_end is None:
             self._epoch_end = now + EPOCH_S
-        if now >= self._epoch_end or self._recorded >= self._epoch_attempts:
+        full = self._recorded >= self._full_epoch
+        ended = now >= self._epoch_end and self._recorded >= self._quiet_epoch
+        if full or ended:
             self._advance(now)
         return self._epoch
 
