--- a/tests/unit/test_ledger.py
+++ b/tests/unit/test_ledger.py
@@ -112,12 +112,18 @@
         late = once.name_attempt(ledger.epoch(0), 'late', 1)
         older = once.name_attempt(ledger.epoch(0), 'older', 1)
         for tick in range(1, 200):
-            ledger.epoch(tick)
-            if tick == 65:
+            filler = once.name_attempt(ledger.epoch(tick), 'f', tick)
+            ledger.offer(filler, 7, tick)
+            if tick == once.ACCEPTED_EPOCHS + 1:
                 self.assertEqual(once.Revoked(), ledger.offer(late, 7, tick))
         self.assertEqual(once.Duplicate(), ledger.offer(older, 7, 200))
         self.assertEqual(once.ResolvedUnknown(), ledger.resolve(older, 7, 200))
 
+    def test_quiet_gate_keeps_its_epoch(self) -> None:
+        ledger = once.Ledger(7)
+        attempt = once.name_attempt(ledger.epoch(0), 'r', 1)
+        self.assertEqual(once.Accepted(), ledger.offer(attempt, 7, 5000))
+
     def test_other_incarnation_is_told_apart(self) -> None:
         ledger = once.Ledger(7)
         self.assertEqual(once.WrongIncarnation(), ledger.offer('0.r.1', 6, 0))
