--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -22,8 +22,8 @@
     Outcome,
 )
 from dragonflyknot.decisions.refusals import Refusal
-from dragonflyknot.exchange.bodies import REPLAYABLE_BYTES
 from dragonflyknot.exchange import sending
+from dragonflyknot.exchange.bodies import REPLAYABLE_BYTES
 from dragonflyknot.exchange.heads import answer_head
 from dragonflyknot.exchange.refusing import Refused
 from dragonflyknot.exchange.relaying import BrokenAnswer, relay
@@ -64,9 +64,7 @@
             if not self._may_retry(run, ending):
                 return _with_known_outcome(run, ending)
             self._ports.tally.retries += 1
-            await asyncio.sleep(
-                retry.backoff_s(run.attempts, self._ports.rng)
-            )
+            await asyncio.sleep(retry.backoff_s(run.attempts, self._ports.rng))
 
     async def _attempt(self, run: CallRun) -> Ending:
         now = time.monotonic()
--- a/packages/callers/src/dragonflyknot/callers/edge.py
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -58,7 +58,9 @@
         self.is_draining = False
         self.in_flight = 0
 
-    async def serve_caller(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def serve_caller(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
         """Serve a request of a caller."""
         request_id = uuid.uuid4().hex
         if request.path == TICKETS_PATH and request.method == 'POST':
@@ -260,9 +262,7 @@
         )
         return response
 
-    def _closing(
-        self, request: web.BaseRequest
-    ) -> MappingProxyType[str, str]:
+    def _closing(self, request: web.BaseRequest) -> MappingProxyType[str, str]:
         unread = request.can_read_body and not request.content.is_eof()
         return _CLOSING if self.is_draining or unread else _NO_HEADERS
 
--- a/packages/callers/src/dragonflyknot/callers/ports.py
+++ b/packages/callers/src/dragonflyknot/callers/ports.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-
 from dragonflyknot.decisions.calls import Attempt
 from dragonflyknot.decisions.chains import Chains
 from dragonflyknot.decisions.document import Configuration
@@ -97,4 +96,3 @@
     chains: Chains
     tally: Tally
     rng: random.Random
-
--- /dev/null
+++ b/packages/daemon/src/dragonflyknot/daemon/logs.py
@@ -0,0 +1,25 @@
+"""Set up structured logs, one JSON object a line on standard error."""
+
+import logging
+import sys
+
+import structlog
+
+
+def configure_logs(level: str, host: str) -> None:
+    """Write logs of at least a level, each with the name of the host."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(host=host)
--- a/packages/exchange/src/dragonflyknot/exchange/heads.py
+++ b/packages/exchange/src/dragonflyknot/exchange/heads.py
@@ -11,18 +11,20 @@
 
 from dragonflyknot.decisions import headers as names
 
-_HOP_BY_HOP = frozenset((
-    'connection',
-    'expect',
-    'keep-alive',
-    'proxy-authenticate',
-    'proxy-authorization',
-    'proxy-connection',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-))
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
 _FRAMING = frozenset(('content-length', 'host', 'server', 'date'))
 _TOKEN_CHARACTERS = frozenset(
     "!#$%&'*+-.^_`|~0123456789"
--- a/packages/exchange/src/dragonflyknot/exchange/refusing.py
+++ b/packages/exchange/src/dragonflyknot/exchange/refusing.py
@@ -45,14 +45,16 @@
     head = {names.OUTCOME: refused.known_outcome.value, **extra}
     if refused.retry_after_s > 0:
         head[names.RETRY_AFTER] = str(math.ceil(refused.retry_after_s))
-    body = json.dumps({
-        'kind': refused.refusal.value,
-        'message': rule.message,
-        'outcome': refused.known_outcome.value,
-        'workspace': workspace,
-        'request': request_id,
-        'retry_after_ms': round(refused.retry_after_s * 1000),
-    })
+    body = json.dumps(
+        {
+            'kind': refused.refusal.value,
+            'message': rule.message,
+            'outcome': refused.known_outcome.value,
+            'workspace': workspace,
+            'request': request_id,
+            'retry_after_ms': round(refused.retry_after_s * 1000),
+        }
+    )
     return web.Response(
         status=rule.status,
         headers=head,
--- a/packages/exchange/src/dragonflyknot/exchange/sessions.py
+++ b/packages/exchange/src/dragonflyknot/exchange/sessions.py
@@ -33,5 +33,5 @@
     )
     # The library repeats idempotent methods once on a lost connection. Such
     # a retry would not be counted in the pool of the chain.
-    session._retry_connection = False  # noqa: SLF001
+    session._retry_connection = False
     return session
--- a/packages/operators/src/dragonflyknot/operators/document.py
+++ b/packages/operators/src/dragonflyknot/operators/document.py
@@ -9,6 +9,15 @@
 from collections.abc import Mapping
 from typing import Annotated, Final, Literal
 
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    ValidationError,
+)
+from result import Err, Ok, Result
+
 from dragonflyknot.decisions.document import (
     HIGHEST_PRIORITY,
     LOWEST_PRIORITY,
@@ -21,14 +30,6 @@
 from dragonflyknot.operators.explain import faults_of
 from dragonflyknot.operators.faults import DocumentFaults, Fault
 from dragonflyknot.operators.references import reference_faults
-from pydantic import (
-    BaseModel,
-    ConfigDict,
-    Field,
-    StringConstraints,
-    ValidationError,
-)
-from result import Err, Ok, Result
 
 MAX_DOCUMENT_BYTES: Final = 4_194_304
 MAX_RATE_PER_SECOND: Final = 10_000_000
--- a/packages/operators/src/dragonflyknot/operators/explain.py
+++ b/packages/operators/src/dragonflyknot/operators/explain.py
@@ -4,10 +4,11 @@
 from collections.abc import Iterator, Sequence
 from typing import get_args
 
-from dragonflyknot.operators.faults import Fault
 from pydantic import BaseModel, ValidationError
 from pydantic_core import ErrorDetails
 
+from dragonflyknot.operators.faults import Fault
+
 _MAX_SHOWN = 40
 
 
--- a/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
@@ -33,10 +33,7 @@
     try:
         return Ok(Announcement.model_validate_json(body))
     except ValidationError as error:
-        faults = '; '.join(
-            f'{".".join(str(part) for part in fault["loc"])}: {fault["msg"]}'
-            for fault in error.errors()
-        )
+        faults = '; '.join(_fault_lines(error))
         return Err(f'Correct the announcement and send it again: {faults}')
 
 
@@ -46,7 +43,7 @@
     def __init__(self) -> None:
         """Start without an upstream."""
         self._announcement: Announcement | None = None
-        self._renewed_at = 0.0
+        self._renewed_at: float = 0
 
     def renew(self, announcement: Announcement, now: float) -> None:
         """Keep an announcement for `SILENCE_S` seconds."""
@@ -58,3 +55,12 @@
         if self._announcement is None or now - self._renewed_at > SILENCE_S:
             return None
         return self._announcement
+
+
+def _fault_lines(error: ValidationError) -> list[str]:
+    lines = []
+    for fault in error.errors(include_input=False, include_url=False):
+        place = '.'.join(map(str, fault['loc']))
+        reason = fault['msg']
+        lines.append(f'{place}: {reason}')
+    return lines
--- a/packages/upstreams/src/dragonflyknot/upstreams/dispatch.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/dispatch.py
@@ -75,7 +75,6 @@
         url,
         headers=request_head(dispatch.request.headers, extra),
         data=body.content(),
-        expect100=body.is_streamed,
         allow_redirects=False,
     )
 
--- a/packages/upstreams/src/dragonflyknot/upstreams/gate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/gate.py
@@ -64,9 +64,7 @@
         report = self._ports.turns.report()
         if self.is_draining:
             report = replace(report, state=UpstreamState.DRAINING)
-        return replace(
-            report, epoch=self._ports.ledger.epoch(time.monotonic())
-        )
+        return replace(report, epoch=self._ports.ledger.epoch(time.monotonic()))
 
     async def serve(
         self, attempt: Attempt, request: web.BaseRequest
--- a/packages/upstreams/src/dragonflyknot/upstreams/listener.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/listener.py
@@ -13,8 +13,8 @@
 from dragonflyknot.decisions import headers as names
 from dragonflyknot.decisions.admission import Announced
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.exchange.refusing import Refused, refusal_response
 from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.exchange.refusing import Refused, refusal_response
 from dragonflyknot.upstreams.announcements import (
     Announcement,
     Announcer,
--- a/tests/unit/test_document.py
+++ b/tests/unit/test_document.py
@@ -3,11 +3,12 @@
 from pathlib import Path
 
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from dragonflyknot.decisions.document import Revision
 from dragonflyknot.operators.document import Document, parse
 from dragonflyknot.operators.faults import DocumentFaults
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
 
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -1,11 +1,12 @@
 """The gate: order of service, limits and refusals."""
 
+from testtools import TestCase
+
 from dragonflyknot.decisions import admission
 from dragonflyknot.decisions.admission import Refuse, Start, Verdict
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.document import Service
 from dragonflyknot.decisions.refusals import Refusal
-from testtools import TestCase
 
 SLOTS = 8
 
--- a/tests/unit/test_keyring.py
+++ b/tests/unit/test_keyring.py
@@ -1,10 +1,11 @@
 """Check that the copy of the keys expires and that withdrawals stick."""
 
 import testtools
-from dragonflyknot.decisions import keyring as keys
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dragonflyknot.decisions import keyring as keys
+
 BOUND_S = 2.0
 
 
--- a/tests/unit/test_ledger.py
+++ b/tests/unit/test_ledger.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass, field
 
 import testtools
-from dragonflyknot.decisions import ledger as once
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dragonflyknot.decisions import ledger as once
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(
--- a/tests/unit/test_refusals.py
+++ b/tests/unit/test_refusals.py
@@ -1,6 +1,7 @@
 """Check that every refusal kind has a rule with a remedy."""
 
 import testtools
+
 from dragonflyknot.decisions.calls import Outcome
 from dragonflyknot.decisions.refusals import Refusal, rule_of
 
--- a/tests/unit/test_runner.py
+++ b/tests/unit/test_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import testtools
+
 from asyncrun import run_async
 
 
