--- /dev/null
+++ b/packages/platform/src/dragonflyknot/platform/s3.py
@@ -0,0 +1,135 @@
+"""Client of an object store by the S3 protocol.
+
+Objects are immutable, so a write may be sent twice without harm and a lost
+answer needs no read-back.
+"""
+
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Any, Final, Self
+
+from dragonflyknot.platform.errors import (
+    AnswerLost,
+    PlatformError,
+    ReadError,
+    Rejected,
+    Unavailable,
+)
+from dragonflyknot.platform.interfaces import Usage
+from dragonflyknot.platform.settings import PlatformSettings
+from dragonflyknot.platform.wire import (
+    Refusal,
+    WireError,
+    bounded,
+    client_context,
+    read_error,
+)
+from result import Err, Ok, Result
+
+OBJECTS: Final = 'object store'
+ABSENT_CODES: Final = frozenset(('404', 'NoSuchKey', 'NotFound'))
+PRESENT_CODES: Final = frozenset(
+    ('412', 'PreconditionFailed', 'ConditionalRequestConflict')
+)
+MAX_SENDS: Final = 3
+
+
+class S3Objects:
+    """Hold the client of one bucket; a context manager."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Keep the settings; the client opens on entry."""
+        self.usage = Usage()
+        self._settings = settings
+        self._stack = AsyncExitStack()
+        self._client: Any = None
+
+    async def __aenter__(self) -> Self:
+        """Open the client."""
+        context = client_context(
+            's3', self._settings.objects_endpoint, self._settings
+        )
+        self._client = await self._stack.enter_async_context(context)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the client's connections."""
+        await self._stack.aclose()
+
+    async def get(self, key: str) -> Result[bytes | None, ReadError]:
+        """Return the content under a key, or none."""
+        self.usage.reads += 1
+        call = self._read(key)
+        match await bounded(OBJECTS, call, self._settings.deadline_s):
+            case Ok(content):
+                return Ok(content)
+            case Err(Refusal(code)) if code in ABSENT_CODES:
+                return Ok(None)
+            case Err(error):
+                return Err(read_error(OBJECTS, error))
+
+    async def put(
+        self, key: str, content: bytes
+    ) -> Result[None, PlatformError]:
+        """Store content under a key unless the key exists."""
+        answer = await self._put_once(key, content)
+        sends = 1
+        while sends < MAX_SENDS and _is_lost(answer):
+            answer = await self._put_once(key, content)
+            sends += 1
+        return answer
+
+    async def exists(self, key: str) -> Result[bool, ReadError]:
+        """Say whether a key exists."""
+        self.usage.reads += 1
+        call = self._client.head_object(Bucket=self._settings.bucket, Key=key)
+        match await bounded(OBJECTS, call, self._settings.deadline_s):
+            case Ok():
+                return Ok(True)
+            case Err(Refusal(code)) if code in ABSENT_CODES:
+                return Ok(False)
+            case Err(error):
+                return Err(read_error(OBJECTS, error))
+
+    async def _read(self, key: str) -> bytes:
+        response = await self._client.get_object(
+            Bucket=self._settings.bucket, Key=key
+        )
+        async with response['Body'] as stream:
+            content: bytes = await stream.read()
+        return content
+
+    async def _put_once(
+        self, key: str, content: bytes
+    ) -> Result[None, PlatformError]:
+        self.usage.writes += 1
+        call = self._client.put_object(
+            Bucket=self._settings.bucket,
+            Key=key,
+            Body=content,
+            IfNoneMatch='*',
+        )
+        match await bounded(OBJECTS, call, self._settings.deadline_s):
+            case Ok():
+                return Ok(None)
+            case Err(Refusal(code)) if code in PRESENT_CODES:
+                return Ok(None)
+            case Err(error):
+                return Err(_write_error(error))
+
+
+def _write_error(error: WireError) -> PlatformError:
+    match error:
+        case Refusal(code):
+            return Rejected(OBJECTS, code)
+        case Unavailable() | AnswerLost():
+            return error
+
+
+def _is_lost(answer: Result[None, PlatformError]) -> bool:
+    return isinstance(answer.err(), AnswerLost)
