--- a/packages/platform/src/dragonflyknot/platform/dynamodb.py
+++ b/packages/platform/src/dragonflyknot/platform/dynamodb.py
@@ -5,6 +5,8 @@
 from types import TracebackType
 from typing import Any, Final, Self
 
+from result import Err, Ok, Result
+
 from dragonflyknot.platform.dynamoitems import (
     Attributes,
     key_item,
@@ -32,7 +34,6 @@
     read_error,
 )
 from dragonflyknot.platform.writes import Row, RowKey, Write
-from result import Err, Ok, Result
 
 TABLE: Final = 'table service'
 CONDITION_CODES: Final = frozenset(
--- a/packages/platform/src/dragonflyknot/platform/embedded.py
+++ b/packages/platform/src/dragonflyknot/platform/embedded.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from result import Err, Ok, Result
+
 from dragonflyknot.platform.errors import (
     AnswerLost,
     ConditionFailed,
@@ -29,7 +31,6 @@
     Write,
     row_after,
 )
-from result import Err, Ok, Result
 
 TABLE: Final = 'table service'
 OBJECTS: Final = 'object store'
--- a/packages/platform/src/dragonflyknot/platform/interfaces.py
+++ b/packages/platform/src/dragonflyknot/platform/interfaces.py
@@ -10,9 +10,10 @@
 from dataclasses import dataclass
 from typing import Final, Protocol
 
+from result import Result
+
 from dragonflyknot.platform.errors import PlatformError, ReadError
 from dragonflyknot.platform.writes import Row, RowKey, Write
-from result import Result
 
 MAX_TRANSACTION_ROWS: Final = 100
 PAGE_ROWS: Final = 1000
--- a/packages/platform/src/dragonflyknot/platform/s3.py
+++ b/packages/platform/src/dragonflyknot/platform/s3.py
@@ -8,6 +8,8 @@
 from types import TracebackType
 from typing import Any, Final, Self
 
+from result import Err, Ok, Result
+
 from dragonflyknot.platform.errors import (
     AnswerLost,
     PlatformError,
@@ -24,7 +26,6 @@
     client_context,
     read_error,
 )
-from result import Err, Ok, Result
 
 OBJECTS: Final = 'object store'
 ABSENT_CODES: Final = frozenset(('404', 'NoSuchKey', 'NotFound'))
--- a/packages/platform/src/dragonflyknot/platform/settling.py
+++ b/packages/platform/src/dragonflyknot/platform/settling.py
@@ -10,6 +10,8 @@
 from enum import Enum, unique
 from typing import Final
 
+from result import Err, Ok, Result
+
 from dragonflyknot.platform.errors import (
     AnswerLost,
     ConditionFailed,
@@ -27,7 +29,6 @@
     Write,
     row_after,
 )
-from result import Err, Ok, Result
 
 MAX_SENDS: Final = 3
 
--- a/packages/platform/src/dragonflyknot/platform/standin/control.py
+++ b/packages/platform/src/dragonflyknot/platform/standin/control.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from aiohttp import web
+
 from dragonflyknot.platform.interfaces import Usage
 from dragonflyknot.platform.switches import Switches
 
--- a/packages/platform/src/dragonflyknot/platform/standin/objectcalls.py
+++ b/packages/platform/src/dragonflyknot/platform/standin/objectcalls.py
@@ -3,10 +3,11 @@
 from typing import Final
 
 from aiohttp import web
+from result import Err, Ok
+
 from dragonflyknot.platform.embedded import EmbeddedObjects
 from dragonflyknot.platform.errors import AnswerLost, PlatformError
 from dragonflyknot.platform.standin.tablecalls import LostAnswerError
-from result import Err, Ok
 
 XML: Final = 'application/xml'
 NOT_FOUND: Final = 404
--- a/packages/platform/src/dragonflyknot/platform/standin/server.py
+++ b/packages/platform/src/dragonflyknot/platform/standin/server.py
@@ -6,6 +6,7 @@
 from typing import Final, Self
 
 from aiohttp import web
+
 from dragonflyknot.platform.embedded import EmbeddedObjects, EmbeddedTable
 from dragonflyknot.platform.standin.control import CONTROL_PATH, Control
 from dragonflyknot.platform.standin.objectcalls import ObjectCalls
--- a/packages/platform/src/dragonflyknot/platform/standin/tablecalls.py
+++ b/packages/platform/src/dragonflyknot/platform/standin/tablecalls.py
@@ -5,6 +5,8 @@
 from typing import Any, Final
 
 from aiohttp import web
+from result import Err, Ok, Result
+
 from dragonflyknot.platform.dynamoitems import (
     ABSENT,
     UNCHANGED,
@@ -27,7 +29,6 @@
     RowKey,
     Write,
 )
-from result import Err, Ok, Result
 
 CONTENT_TYPE: Final = 'application/x-amz-json-1.0'
 TARGET: Final = 'X-Amz-Target'
--- a/packages/platform/src/dragonflyknot/platform/wire.py
+++ b/packages/platform/src/dragonflyknot/platform/wire.py
@@ -18,6 +18,8 @@
     ConnectTimeoutError,
     EndpointConnectionError,
 )
+from result import Err, Ok, Result
+
 from dragonflyknot.platform.errors import (
     AnswerLost,
     ReadError,
@@ -28,7 +30,6 @@
     MAX_POOL_CONNECTIONS,
     PlatformSettings,
 )
-from result import Err, Ok, Result
 
 Response = dict[str, Any]
 _Answer = TypeVar('_Answer')
--- a/tests/integration/test_standin.py
+++ b/tests/integration/test_standin.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 import testtools
+from result import Ok
+
 from asyncrun import run_async
 from dragonflyknot.platform.backends import Backend, RemoteBackend
 from dragonflyknot.platform.errors import (
@@ -21,7 +23,6 @@
     Row,
     RowKey,
 )
-from result import Ok
 
 KEY = RowKey('keys', 'a')
 OTHER = RowKey('keys', 'b')
--- a/tests/unit/test_settling.py
+++ b/tests/unit/test_settling.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 
 import testtools
+from result import Err, Ok, Result
+
 from asyncrun import run_async
 from dragonflyknot.platform.embedded import EmbeddedTable
 from dragonflyknot.platform.errors import (
@@ -20,7 +22,6 @@
     RowKey,
     Write,
 )
-from result import Err, Ok, Result
 
 KEY = RowKey('leases', 'a')
 OTHER = RowKey('leases', 'b')
