Resolve attempts whose connection has fallen silent

Cause: an attempt on a silent connection waited for its whole deadline. After half a second without an answer the edge asks the gate over another connection; a verdict of never or finished ends the wait, and the host's old connections are replaced.

--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from dragonflyknot.callers import ports
+from dragonflyknot.callers.watch import Watch
 from dragonflyknot.decisions import headers as names
 from dragonflyknot.decisions import ledger, retry, routing
 from dragonflyknot.decisions.calls import (
@@ -119,11 +120,15 @@
         self, run: CallRun, attempt: Attempt
     ) -> sending.Received:
         left_s = run.call.deadline - time.monotonic()
+        sender = self._ports.sender
+        scope = asyncio.timeout(max(left_s, 0))
+        watch = Watch(sender, attempt, scope)
         try:
-            async with asyncio.timeout(max(left_s, 0)):
-                return await self._ports.sender.send(attempt, run.outgoing)
+            async with scope:
+                with watch:
+                    return await sender.send(attempt, run.outgoing)
         except TimeoutError:
-            return sending.Lost(was_sent=True)
+            return sending.Lost(was_sent=True, resolved=watch.resolved)
 
     async def _finish(
         self,
@@ -145,15 +150,20 @@
                 run.pool.take_back(handed, handed)
                 run.excluded.add(attempt.host)
                 return Refused(Refusal.NO_UPSTREAM)
-            case sending.Lost():
+            case sending.Lost(resolved=resolved):
                 run.excluded.add(attempt.host)
-                return await self._resolve(run, attempt, handed)
+                return await self._resolve(run, attempt, handed, resolved)
 
     async def _resolve(
-        self, run: CallRun, attempt: Attempt, handed: int
+        self,
+        run: CallRun,
+        attempt: Attempt,
+        handed: int,
+        known: ledger.Resolved | None,
     ) -> Refused:
         self._ports.tally.resolves += 1
-        refused = await self._ports.sender.resolve(attempt)
+        resolved = known or await self._ports.sender.resolve(attempt)
+        refused = _lost_refusal(resolved)
         if refused.known_outcome is Outcome.NOT_RUN:
             # An attempt that never ran cannot have spent its part.
             run.pool.take_back(handed, handed)
@@ -225,6 +235,18 @@
             return routing.Ending.UNREACHABLE
 
 
+def _lost_refusal(resolved: ledger.Resolved) -> Refused:
+    match resolved:
+        case ledger.ResolvedNever():
+            return Refused(Refusal.NO_UPSTREAM, outcome=Outcome.NOT_RUN)
+        case ledger.ResolvedFinished():
+            return Refused(Refusal.UPSTREAM_BROKE, outcome=Outcome.RAN)
+        case ledger.ResolvedQueued() | ledger.ResolvedRunning():
+            return Refused(Refusal.UPSTREAM_SILENT)
+        case ledger.ResolvedUnknown():
+            return Refused(Refusal.UPSTREAM_BROKE)
+
+
 def _report(received: sending.Received) -> LoadReport | None:
     match received:
         case sending.Answered() | sending.Rejected():
--- a/packages/callers/src/dragonflyknot/callers/ports.py
+++ b/packages/callers/src/dragonflyknot/callers/ports.py
@@ -12,6 +12,7 @@
 from dragonflyknot.decisions.chains import Chains
 from dragonflyknot.decisions.document import Configuration
 from dragonflyknot.decisions.keyring import Keyring
+from dragonflyknot.decisions.ledger import Resolved
 from dragonflyknot.decisions.retry import RetryBudget
 from dragonflyknot.decisions.routes import RouteTable
 from dragonflyknot.decisions.routing import Router
@@ -41,9 +42,12 @@
     async def send(self, attempt: Attempt, outgoing: Outgoing) -> Received:
         """Send an attempt; wait for the head of its answer."""
 
-    async def resolve(self, attempt: Attempt) -> Refused:
+    async def resolve(self, attempt: Attempt) -> Resolved:
         """Ask the gate what became of an attempt over a new connection."""
 
+    def suspect(self, host: str) -> None:
+        """Use new connections to a host from now on."""
+
 
 @dataclass(frozen=True, slots=True)
 class Claimed:
--- /dev/null
+++ b/packages/callers/src/dragonflyknot/callers/watch.py
@@ -0,0 +1,83 @@
+"""Watch an attempt whose connection may have fallen silent.
+
+An attempt without an answer for a while is resolved over another
+connection. If the gate never saw it, or ended it without the answer coming
+through, the wait ends; while it is queued or running, the wait goes on.
+"""
+
+import asyncio
+from types import TracebackType
+from typing import Protocol
+
+from dragonflyknot.decisions import ledger
+from dragonflyknot.decisions.calls import Attempt
+
+PROBE_AFTER_S = 0.5
+PROBE_EVERY_S = 1.0
+GRACE_S = 0.5
+
+
+class Resolving(Protocol):
+    """Ask a gate what became of an attempt."""
+
+    async def resolve(self, attempt: Attempt) -> ledger.Resolved:
+        """Return what the gate knows; *never* binds."""
+
+    def suspect(self, host: str) -> None:
+        """Use new connections to a host from now on."""
+
+
+class Watch:
+    """Probe one attempt while its answer is awaited; a context manager."""
+
+    def __init__(
+        self, resolver: Resolving, attempt: Attempt, scope: asyncio.Timeout
+    ) -> None:
+        """Keep the timeout scope that a verdict ends early."""
+        self._resolver = resolver
+        self._attempt = attempt
+        self._scope = scope
+        self._timer: asyncio.TimerHandle | None = None
+        self._probe: asyncio.Task[None] | None = None
+        self.resolved: ledger.Resolved | None = None
+
+    def __enter__(self) -> 'Watch':
+        """Begin to wait for the time of the first probe."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(PROBE_AFTER_S, self._start)
+        return self
+
+    def __exit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop probing."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._probe is not None:
+            self._probe.cancel()
+
+    def _start(self) -> None:
+        self._probe = asyncio.ensure_future(self._probe_until_ended())
+
+    async def _probe_until_ended(self) -> None:
+        while True:
+            resolved = await self._resolver.resolve(self._attempt)
+            if _has_ended(resolved):
+                break
+            await asyncio.sleep(PROBE_EVERY_S)
+        # The answer may be on its way; it goes before the verdict.
+        await asyncio.sleep(GRACE_S)
+        self.resolved = resolved
+        self._resolver.suspect(self._attempt.host)
+        self._scope.reschedule(asyncio.get_running_loop().time())
+
+
+def _has_ended(resolved: ledger.Resolved) -> bool:
+    match resolved:
+        case ledger.ResolvedNever() | ledger.ResolvedFinished():
+            return True
+        case _:
+            return False
--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -28,6 +28,7 @@
 from dragonflyknot.peers.directory import Directory
 from dragonflyknot.peers.forward import Forwarder
 from dragonflyknot.peers.receiving import Receiver
+from dragonflyknot.peers.sessions import PeerSessions
 from dragonflyknot.upstreams.announcements import Announcer
 from dragonflyknot.upstreams.gate import Gate, GatePorts
 from dragonflyknot.upstreams.listener import UpstreamListener
@@ -84,11 +85,11 @@
 
     async def _open(self, stack: AsyncExitStack) -> None:
         self.policies.subscribe(self._configure)
-        session = await stack.enter_async_context(relay_session())
+        sessions = await stack.enter_async_context(PeerSessions(relay_session))
         upstream_session = await stack.enter_async_context(relay_session())
         secret = self.settings.fleet_secret.get_secret_value()
         forwarder = Forwarder(
-            session, self.directory, standalone.UnknownResolver(), secret
+            sessions, self.directory, standalone.UnknownResolver(), secret
         )
         self.gate = Gate(
             GatePorts(
--- a/packages/daemon/src/dragonflyknot/daemon/standalone.py
+++ b/packages/daemon/src/dragonflyknot/daemon/standalone.py
@@ -15,6 +15,7 @@
 from dragonflyknot.decisions import keyring, routing
 from dragonflyknot.decisions.calls import Attempt, UpstreamState
 from dragonflyknot.decisions.document import Revision
+from dragonflyknot.decisions.ledger import ResolvedUnknown
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.exchange.refusing import Refused
 from dragonflyknot.operators import document
@@ -27,9 +28,9 @@
 class UnknownResolver:
     """Answer that nothing is known about an attempt."""
 
-    async def resolve(self, attempt: Attempt) -> Refused:
+    async def resolve(self, attempt: Attempt) -> ResolvedUnknown:
         """Return an unknown outcome."""
-        return Refused(Refusal.UPSTREAM_BROKE)
+        return ResolvedUnknown()
 
 
 class NoOperations:
--- a/packages/exchange/src/dragonflyknot/exchange/sending.py
+++ b/packages/exchange/src/dragonflyknot/exchange/sending.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from dragonflyknot.decisions.calls import LoadReport
+from dragonflyknot.decisions.ledger import Resolved
 from dragonflyknot.exchange.bodies import RequestBody
 from dragonflyknot.exchange.refusing import Refused
 
@@ -42,10 +43,12 @@
 class Lost:
     """Report a connection that broke or fell silent.
 
-    `was_sent` tells whether the gate may have received the attempt.
+    `was_sent` tells whether the gate may have received the attempt, and
+    `resolved` what the gate said of it, if it was asked already.
     """
 
     was_sent: bool
+    resolved: Resolved | None = None
 
 
 Received = Answered | Rejected | Lost
--- a/packages/peers/src/dragonflyknot/peers/forward.py
+++ b/packages/peers/src/dragonflyknot/peers/forward.py
@@ -11,6 +11,7 @@
 from yarl import URL
 
 from dragonflyknot.decisions import headers as names
+from dragonflyknot.decisions import ledger
 from dragonflyknot.decisions.calls import Attempt, LoadReport, Outcome
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.exchange.hops import (
@@ -27,6 +28,7 @@
     Rejected,
 )
 from dragonflyknot.peers.directory import Directory
+from dragonflyknot.peers.sessions import PeerSessions
 
 FINAL_REFUSAL = 'final'
 
@@ -34,8 +36,8 @@
 class Resolver(Protocol):
     """Ask a gate what became of an attempt."""
 
-    async def resolve(self, attempt: Attempt) -> Refused:
-        """Return a refusal whose outcome is what the gate knows."""
+    async def resolve(self, attempt: Attempt) -> ledger.Resolved:
+        """Return what the gate knows; unknown where it cannot be asked."""
 
 
 class Forwarder:
@@ -43,13 +45,13 @@
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
+        sessions: PeerSessions,
         directory: Directory,
         resolver: Resolver,
         secret: str,
     ) -> None:
-        """Keep the session, the directory and the fleet secret."""
-        self._session = session
+        """Keep the sessions, the directory and the fleet secret."""
+        self._sessions = sessions
         self._directory = directory
         self._resolver = resolver
         self._secret = secret
@@ -74,24 +76,29 @@
             self._directory.heard_epoch(attempt.host, report.epoch)
         return _received(answer, report)
 
-    async def resolve(self, attempt: Attempt) -> Refused:
+    async def resolve(self, attempt: Attempt) -> ledger.Resolved:
         """Ask the gate what became of an attempt."""
         return await self._resolver.resolve(attempt)
 
+    def suspect(self, host: str) -> None:
+        """Use new connections to a host from now on."""
+        self._sessions.suspect(host)
+
     async def _request(
         self, attempt: Attempt, outgoing: Outgoing, address: str
     ) -> aiohttp.ClientResponse:
         head = outgoing.head.copy()
         head[names.HOP_SECRET] = self._secret
         head[names.HOP_CALL] = encode_attempt(attempt, time.monotonic())
-        return await self._session.request(
-            outgoing.method,
-            URL(f'http://{address}{outgoing.path}', encoded=True),
-            headers=head,
-            data=outgoing.body.content(),
-            expect100=outgoing.body.is_streamed,
-            allow_redirects=False,
-        )
+        with self._sessions.using(attempt.host) as session:
+            return await session.request(
+                outgoing.method,
+                URL(f'http://{address}{outgoing.path}', encoded=True),
+                headers=head,
+                data=outgoing.body.content(),
+                expect100=outgoing.body.is_streamed,
+                allow_redirects=False,
+            )
 
 
 def _received(
