--- /dev/null
+++ b/measure/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Named experiments that measure the policies."""
--- /dev/null
+++ b/packages/decisions/src/dragonflyknot/decisions/leases.py
@@ -0,0 +1,364 @@
+"""Hold shards of the fleet's rates by lease in the table.
+
+Each candidate daemon runs one `LeaseKeeper`. It keeps its heartbeat row
+(`heartbeats`), is witness for others (`witness`), takes free shards as
+`placement` plans them, and hands one over when it holds too many. Its
+commands go to the table, to other daemons and to the daemon's own `Quota`.
+"""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+
+from dragonflyknot.decisions.heartbeats import Heartbeat
+from dragonflyknot.decisions.leaserows import (
+    NOBODY,
+    AnswerWitness,
+    CandidatesChanged,
+    HeartbeatRow,
+    LeaseCommand,
+    LeaseEvent,
+    LeaseSettings,
+    LeaseTicked,
+    Nudge,
+    Nudged,
+    ReadRows,
+    RowRefused,
+    RowsRead,
+    RowsUnread,
+    RowUnanswered,
+    RowWrite,
+    RowWritten,
+    ShardRow,
+    StopFinished,
+    Stopped,
+    WitnessAnswered,
+    WitnessAsked,
+    WriteHeartbeat,
+    WriteShard,
+)
+from dragonflyknot.decisions.placement import (
+    Candidate,
+    plan_shards,
+    stable_hash,
+)
+from dragonflyknot.decisions.ratemessages import (
+    Holder,
+    HoldersChanged,
+    LeaseExtended,
+    ShardGained,
+    ShardLost,
+)
+from dragonflyknot.decisions.witness import Witness
+
+
+class LeaseKeeper:
+    """Take, keep, hand over and release the shards of one daemon."""
+
+    def __init__(self, me: Candidate, settings: LeaseSettings) -> None:
+        self._me = me
+        self._settings = settings
+        self._heartbeat = Heartbeat(me, settings)
+        self._witness = Witness(me.daemon, settings)
+        self._candidates: tuple[Candidate, ...] = ()
+        self._rows_by_shard: dict[int, ShardRow] = {}
+        self._free_since_by_shard: dict[int, float] = {}
+        self._epochs_by_held: dict[int, int] = {}
+        self._epochs_by_released: dict[int, int] = {}
+        self._writing_shards: set[int] = set()
+        self._read_at: float | None = None
+        self._reading = False
+        self._next_read_at = float(0)
+        self._changed_at = float('-inf')
+        self._usable_until = float(0)
+        self._holders: tuple[Holder, ...] = ()
+        self._stopping = False
+        self._stopped = False
+
+    @property
+    def held(self) -> frozenset[int]:
+        """Return the shards that this daemon holds."""
+        return frozenset(self._epochs_by_held)
+
+    def handle(self, event: LeaseEvent, now: float) -> tuple[LeaseCommand, ...]:
+        """Take in an event and return what is to be done."""
+        commands = list(self._dispatch(event, now))
+        commands.extend(self._report())
+        return tuple(commands)
+
+    def _dispatch(
+        self, event: LeaseEvent, now: float
+    ) -> Iterator[LeaseCommand]:
+        match event:
+            case LeaseTicked():
+                yield from self._tick(now)
+            case RowsRead():
+                yield from self._read(event, now)
+            case RowsUnread():
+                self._reading = False
+                self._next_read_at = now + self._settings.retry_s
+            case RowWritten(write):
+                self._changed_at = now
+                yield from self._written(write, now)
+            case RowRefused(write) | RowUnanswered(write):
+                self._missed(write, now)
+                yield from self._read_rows(now)
+            case CandidatesChanged(candidates):
+                self._candidates = candidates
+                self._heartbeat.change_candidates(candidates)
+            case WitnessAsked(holder):
+                granted = self._witness.ask(holder, now)
+                yield AnswerWitness(self._me.daemon, holder, granted)
+            case WitnessAnswered():
+                self._heartbeat.answered(event, now)
+            case Nudged():
+                yield from self._read_rows(now)
+            case Stopped():
+                self._stopping = True
+                yield from self._drop_all()
+                yield from self._stop(now)
+
+    def _tick(self, now: float) -> Iterator[LeaseCommand]:
+        if self._stopping:
+            yield from self._stop(now)
+            return
+        candidate = self._me in self._candidates
+        if candidate or self._heartbeat.row is not None:
+            if now >= self._next_read_at:
+                yield from self._read_rows(now)
+            yield from self._heartbeat.tick(now, self._wants_shards())
+        if candidate and self._read_at is not None:
+            yield from self._witness.fence(
+                self._rows_by_shard.values(), self._heartbeat.holder, now
+            )
+            yield from self._take(now)
+
+    def _stop(self, now: float) -> Iterator[LeaseCommand]:
+        row = self._heartbeat.row
+        nothing = row is None and not self._heartbeat.unresolved
+        if nothing or (row is not None and row.dead):
+            if not self._stopped:
+                self._stopped = True
+                yield StopFinished()
+            return
+        if self._heartbeat.unresolved:
+            yield from self._read_rows(now)
+        yield from self._heartbeat.give_up(now)
+
+    def _read_rows(self, now: float) -> Iterator[LeaseCommand]:
+        if not self._reading:
+            self._reading = True
+            self._next_read_at = now + self._settings.poll_s
+            yield ReadRows(now)
+
+    def _read(self, read: RowsRead, now: float) -> Iterator[LeaseCommand]:
+        self._reading = False
+        if read.asked_at <= self._changed_at:
+            # The rows may be older than what this daemon wrote since.
+            yield from self._read_rows(now)
+            return
+        self._read_at = now
+        self._witness.see(read.heartbeats, now)
+        rows = {row.holder: row for row in read.heartbeats}
+        if self._heartbeat.seen(rows.get(self._heartbeat.holder)):
+            yield from self._drop_all()
+            self._heartbeat.begin_term()
+        self._rows_by_shard = {row.shard: row for row in read.shards}
+        yield from self._adopt()
+        self._note_free(now)
+        if not self._stopping and self._me in self._candidates:
+            yield from self._take(now)
+            yield from self._hand_over()
+            yield from self._clean(now)
+
+    def _adopt(self) -> Iterator[LeaseCommand]:
+        for shard, row in self._rows_by_shard.items():
+            mine = row.holder == self._heartbeat.holder
+            held = self._epochs_by_held.get(shard)
+            if held is not None and (not mine or row.epoch != held):
+                yield from self._drop(shard)
+            released = self._epochs_by_released.get(shard, 0)
+            if mine and row.epoch <= released:
+                yield from self._release(row)
+            elif mine and shard not in self._epochs_by_held:
+                yield from self._hold(row)
+
+    def _written(self, write: RowWrite, now: float) -> Iterator[LeaseCommand]:
+        match write:
+            case WriteHeartbeat(row):
+                self._heartbeat.written(row)
+                self._witness.learn(row, now)
+                if self._stopping:
+                    yield from self._stop(now)
+                    yield from self._nudge_witness()
+                else:
+                    self._note_free(now)
+                    yield from self._take(now)
+            case WriteShard(row):
+                self._writing_shards.discard(row.shard)
+                self._rows_by_shard[row.shard] = row
+                if row.holder == NOBODY:
+                    yield from self._nudge_taker(row.shard)
+                elif row.holder == self._heartbeat.holder:
+                    yield from self._hold(row)
+
+    def _missed(self, write: RowWrite, now: float) -> None:
+        match write:
+            case WriteHeartbeat(row):
+                self._witness.missed(row)
+                self._heartbeat.unanswered(row, now)
+            case WriteShard(row):
+                self._writing_shards.discard(row.shard)
+
+    def _hold(self, row: ShardRow) -> Iterator[LeaseCommand]:
+        if not self._stopping and row.shard not in self._epochs_by_held:
+            self._epochs_by_held[row.shard] = row.epoch
+            yield ShardGained(row.shard)
+
+    def _drop(self, shard: int) -> Iterator[LeaseCommand]:
+        epoch = self._epochs_by_held.pop(shard)
+        self._epochs_by_released[shard] = epoch
+        yield ShardLost(shard)
+
+    def _drop_all(self) -> Iterator[LeaseCommand]:
+        for shard in sorted(self._epochs_by_held):
+            yield from self._drop(shard)
+
+    def _release(self, row: ShardRow) -> Iterator[LeaseCommand]:
+        if row.shard not in self._writing_shards:
+            self._writing_shards.add(row.shard)
+            free = ShardRow(row.shard, NOBODY, NOBODY, row.epoch + 1)
+            yield WriteShard(free, row.epoch)
+
+    def _wants_shards(self) -> bool:
+        if self._read_at is None or self._me not in self._candidates:
+            return False
+        planned = self._plan().values()
+        return self._me in planned or bool(self._bequeathed())
+
+    def _take(self, now: float) -> Iterator[LeaseCommand]:
+        if self._stopping or now >= self._heartbeat.usable_until():
+            return
+        planned = self._plan()
+        bequeathed = self._bequeathed()
+        patience_s = 2 * self._settings.poll_s
+        for shard in self._free():
+            waited_s = now - self._free_since_by_shard.get(shard, now)
+            mine = planned.get(shard) == self._me or shard in bequeathed
+            if shard in self._writing_shards:
+                continue
+            if mine or waited_s > patience_s:
+                self._writing_shards.add(shard)
+                row = self._rows_by_shard.get(shard)
+                epoch = 0 if row is None else row.epoch
+                yield WriteShard(
+                    ShardRow(
+                        shard,
+                        self._heartbeat.holder,
+                        self._me.daemon,
+                        epoch + 1,
+                    ),
+                    None if row is None else epoch,
+                )
+
+    def _hand_over(self) -> Iterator[LeaseCommand]:
+        counts = self._counts()
+        fewest = min(
+            counts.get(candidate.daemon, 0) for candidate in self._candidates
+        )
+        mine = len(self._epochs_by_held)
+        if mine < fewest + 2 or self._free():
+            return
+        regions = sorted({one.region for one in self._candidates})
+        shard = max(
+            self._epochs_by_held,
+            key=lambda held: (
+                regions[held % len(regions)] != self._me.region,
+                stable_hash(f'{self._me.host}/{held}'),
+            ),
+        )
+        yield from self._drop(shard)
+        yield from self._release(self._rows_by_shard[shard])
+
+    def _clean(self, now: float) -> Iterator[LeaseCommand]:
+        first = min(one.daemon for one in self._candidates)
+        if first == self._me.daemon:
+            yield from self._witness.clean(self._rows_by_shard.values(), now)
+
+    def _nudge_witness(self) -> Iterator[LeaseCommand]:
+        host = self._heartbeat.witness_host()
+        if host is not None:
+            yield Nudge(host)
+
+    def _nudge_taker(self, shard: int) -> Iterator[LeaseCommand]:
+        taker = self._plan().get(shard)
+        if taker is not None and taker != self._me:
+            yield Nudge(taker.host)
+
+    def _plan(self) -> dict[int, Candidate]:
+        return plan_shards(self._free(), self._counts(), self._candidates)
+
+    def _counts(self) -> Counter[str]:
+        free = set(self._free())
+        return Counter(
+            row.daemon
+            for shard, row in self._rows_by_shard.items()
+            if shard not in free
+        )
+
+    def _free(self) -> tuple[int, ...]:
+        heartbeats = self._witness.rows()
+        return tuple(
+            shard
+            for shard in range(self._settings.shards)
+            if _is_free(self._rows_by_shard.get(shard), heartbeats)
+        )
+
+    def _bequeathed(self) -> frozenset[int]:
+        """Return the free shards whose dead holder named this witness."""
+        heartbeats = self._witness.rows()
+        bequeathed: set[int] = set()
+        for shard in self._free():
+            row = self._rows_by_shard.get(shard)
+            holder = NOBODY if row is None else row.holder
+            heartbeat = heartbeats.get(holder)
+            if heartbeat and heartbeat.witness == self._me.daemon:
+                bequeathed.add(shard)
+        return frozenset(bequeathed)
+
+    def _note_free(self, now: float) -> None:
+        free = self._free()
+        self._free_since_by_shard = {
+            shard: self._free_since_by_shard.get(shard, now) for shard in free
+        }
+
+    def _report(self) -> Iterator[LeaseCommand]:
+        until = float(0) if self._stopping else self._heartbeat.usable_until()
+        if until != self._usable_until:
+            self._usable_until = until
+            yield LeaseExtended(until)
+        holders = self._known_holders()
+        if holders != self._holders:
+            self._holders = holders
+            yield HoldersChanged(holders)
+
+    def _known_holders(self) -> tuple[Holder, ...]:
+        counts = self._counts()
+        return tuple(
+            Holder(
+                candidate.host,
+                candidate.data_center,
+                candidate.region,
+                counts[candidate.daemon],
+            )
+            for candidate in self._candidates
+            if counts[candidate.daemon] > 0
+        )
+
+
+def _is_free(
+    row: ShardRow | None, heartbeats_by_holder: Mapping[str, HeartbeatRow]
+) -> bool:
+    if row is None or row.holder == NOBODY:
+        return True
+    heartbeat = heartbeats_by_holder.get(row.holder)
+    return heartbeat is not None and heartbeat.dead
