--- a/packages/decisions/src/dragonflyknot/decisions/calls.py
+++ b/packages/decisions/src/dragonflyknot/decisions/calls.py
@@ -63,8 +63,10 @@
 class LoadReport:
     """Tell edges what a gate has room for.
 
-    `threshold` is the lowest priority that the gate now admits; `limit`,
-    `running` and `queued` count requests.
+    `threshold` is the lowest priority that the gate now admits, `prompt`
+    the lowest that starts without a long wait; `limit`, `running` and
+    `queued` count requests. `epoch` is the ledger epoch that senders put
+    into the ids of new attempts.
     """
 
     state: UpstreamState
@@ -72,3 +74,5 @@
     running: int
     queued: int
     threshold: int
+    prompt: int = 0
+    epoch: int = 0
