--- a/packages/decisions/src/dragonflyknot/decisions/keyring.py
+++ b/packages/decisions/src/dragonflyknot/decisions/keyring.py
@@ -75,6 +75,7 @@
         """Start empty and stale; `bound_s` limits the age of the copy."""
         self.bound_s = bound_s
         self._records_by_hash: dict[str, KeyRecord] = {}
+        self._announced: set[str] = set()
         self._sequence = 0
         self._fresh_at = _NEVER_FRESH
 
@@ -87,6 +88,11 @@
         """Return the number up to which every change is held."""
         return self._sequence
 
+    @property
+    def announced(self) -> frozenset[str]:
+        """Return the withdrawals that the table is not known to hold."""
+        return frozenset(self._announced)
+
     def age_s(self, now: float) -> float:
         """Return the age of the copy; infinite before the first answer."""
         return now - self._fresh_at
@@ -120,13 +126,14 @@
 
     def withdraw(self, key_hash: str) -> None:
         """Refuse a key at once, ahead of the table's confirmation."""
-        known = self._records_by_hash.get(key_hash)
-        self._records_by_hash[key_hash] = KeyRecord(
-            key_hash,
-            known.workspace if known else '',
-            withdrawn=True,
-            sequence=known.sequence if known else 0,
-        )
+        if not self.has_withdrawn(key_hash):
+            self._announced.add(key_hash)
+            self._take(KeyRecord(key_hash, '', withdrawn=True, sequence=0))
+
+    def has_withdrawn(self, key_hash: str) -> bool:
+        """Return whether a key is held as withdrawn."""
+        record = self._records_by_hash.get(key_hash)
+        return record is not None and record.withdrawn
 
     def confirm_by_store(self, sequence: int, asked_at: float) -> bool:
         """Note the table's number, read after `asked_at` (local seconds).
@@ -152,6 +159,10 @@
         self._fresh_at = max(self._fresh_at, asked_at - age_s)
         return True
 
+    def confirm_by_outage(self, agreed_at: float) -> None:
+        """Note that up to `agreed_at` the table could accept no change."""
+        self._fresh_at = max(self._fresh_at, agreed_at)
+
     def freshness(self, now: float) -> PeerFreshness:
         """Return what this daemon can tell a peer that asks."""
         return PeerFreshness(self._sequence, self.age_s(now))
@@ -161,17 +172,20 @@
         records = [
             record
             for record in self._records_by_hash.values()
-            if record.sequence > since or record.sequence == 0
+            if record.sequence > since
         ]
         return KeyChanges(
             min(since, self._sequence), self._sequence, tuple(records)
         )
 
     def _take(self, record: KeyRecord) -> None:
+        if record.withdrawn and record.sequence:
+            self._announced.discard(record.key_hash)
         known = self._records_by_hash.get(record.key_hash)
         if known is None:
             self._records_by_hash[record.key_hash] = record
             return
+        # A withdrawal is final, whatever comes late.
         withdrawn = known.withdrawn or record.withdrawn
         newest = max(known, record, key=_sequence_of)
         self._records_by_hash[record.key_hash] = KeyRecord(
--- a/tests/unit/test_keyring.py
+++ b/tests/unit/test_keyring.py
@@ -52,6 +52,17 @@
         ring.confirm_by_store(1, asked_at=0)
         ring.withdraw('k')
         self.assertEqual(keys.WithdrawnKey(), ring.check('k', 1))
+        self.assertEqual({'k'}, ring.announced)
+        ring.install(keys.KeyChanges(1, 2, (_withdraw(2),)))
+        self.assertEqual(frozenset(), ring.announced)
+
+    def test_agreed_outage_keeps_the_copy_fresh(self) -> None:
+        ring = keys.Keyring(BOUND_S)
+        ring.install(keys.KeyChanges(0, 1, (_issue(1),)))
+        ring.confirm_by_store(1, asked_at=0)
+        ring.confirm_by_outage(50)
+        self.assertEqual(keys.Vouched('w'), ring.check('k', 52))
+        self.assertEqual(keys.StaleKeys(), ring.check('k', 53))
 
     def test_changes_for_a_peer_are_complete(self) -> None:
         ring = keys.Keyring(BOUND_S)
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -3,14 +3,16 @@
 from dataclasses import replace
 
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from dragonflyknot.decisions import members as msg
 from dragonflyknot.decisions import membership
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.document import Revision
 from dragonflyknot.decisions.memberview import MemberView
+from dragonflyknot.decisions.suspicion import Suspicions
 from harness.gossipfleet import Faults, GossipFleet, build_member, restarted
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 SETTLED_S = 20
 
@@ -81,6 +83,8 @@
     def test_cut_regions_rejoin(self) -> None:
         fleet = _fleet(16)
         fleet.run(10)
+        for host in fleet.daemons_by_host:
+            fleet.feed(host, msg.AddressesLearned(()))
         fleet.faults = Faults(regions_cut=True)
         fleet.run(30)
         self.assertEqual(7, len(fleet.known_hosts_by_host['10.0.0.0']))
@@ -114,6 +118,19 @@
             self.assertEqual(3, daemon.revision.number)
 
 
+class SuspicionsTest(testtools.TestCase):
+    """A daemon that stood still does not blame the others."""
+
+    def test_own_pause_restarts_the_time(self) -> None:
+        suspicions = Suspicions()
+        suspicions.take_due(0)
+        suspicions.add('h', 0)
+        self.assertEqual([], suspicions.take_due(60))
+        for tick in range(61, 63):
+            self.assertEqual([], suspicions.take_due(tick))
+        self.assertEqual(['h'], suspicions.take_due(63))
+
+
 class LargeFleetTest(testtools.TestCase):
     """Beyond the whole view, a daemon keeps only what concerns it."""
 
