--- a/packages/callers/src/dragonflyknot/callers/edge.py
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -20,6 +20,7 @@
 from dragonflyknot.decisions.calls import Call, Outcome
 from dragonflyknot.decisions.chains import RunningCall
 from dragonflyknot.decisions.document import OPEN_WORKSPACE, Route
+from dragonflyknot.decisions.grants import Spent
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.retry import RetryPool, spread_retry_after_s
 from dragonflyknot.exchange import sending
@@ -45,7 +46,7 @@
     call: Call
     route: Route
     pool: RetryPool
-    has_token: bool
+    spent: Spent | None = None
 
 
 class Edge:
@@ -111,11 +112,15 @@
         deadline = credentials.deadline_of(request, route.timeout_ms, now)
         if isinstance(deadline, Refusal):
             return Refused(deadline)
-        wait_s = await self._ports.rates.spend(workspace, request_id, deadline)
-        if wait_s is not None:
-            self._ports.tally.refused(workspace, Refusal.RATE)
-            return Refused(Refusal.RATE, wait_s)
-        return self._first_hop(route, workspace, request_id, deadline)
+        spent = await self._ports.rates.spend(workspace, request_id, deadline)
+        match spent:
+            case ports.RateRefused(retry_after_s):
+                self._ports.tally.refused(workspace, Refusal.RATE)
+                return Refused(Refusal.RATE, retry_after_s)
+            case Spent():
+                call = _first_call(route, workspace, request_id, deadline)
+                pool = RetryPool(route.retries)
+                return Admitted(call, route, pool, spent)
 
     def _workspace(
         self, request: web.BaseRequest, route: Route, now: float
@@ -124,21 +129,6 @@
             return OPEN_WORKSPACE
         return credentials.workspace_of(request, self._ports.keyring, now)
 
-    def _first_hop(
-        self, route: Route, workspace: str, request_id: str, deadline: float
-    ) -> Admitted:
-        call = Call(
-            request_id=request_id,
-            chain_id=request_id,
-            workspace=workspace,
-            service=route.service,
-            priority=route.priority,
-            deadline=deadline,
-            once=route.once,
-            idempotent=route.idempotent,
-        )
-        return Admitted(call, route, RetryPool(route.retries), has_token=True)
-
     def _inherit(
         self, request: web.BaseRequest, parent: RunningCall, request_id: str
     ) -> Admitted | Refused:
@@ -164,7 +154,7 @@
             once=route.once,
             idempotent=route.idempotent,
         )
-        return Admitted(call, route, parent.pool, has_token=False)
+        return Admitted(call, route, parent.pool)
 
     async def _serve(
         self,
@@ -182,19 +172,23 @@
         self, request: web.BaseRequest, admitted: Admitted
     ) -> web.StreamResponse:
         workspace = admitted.call.workspace
-        if admitted.has_token:
+        if admitted.spent is not None:
             self._ports.tally.admitted_by_workspace[workspace] += 1
         ending = await self._run(request, admitted)
         if isinstance(ending, web.StreamResponse):
             self._ports.tally.answered_by_workspace[workspace] += 1
             return ending
-        if admitted.has_token and ending.known_outcome is Outcome.NOT_RUN:
-            self._ports.rates.give_back(workspace)
+        if admitted.spent is not None:
+            self._give_back(admitted.spent, ending)
         self._ports.tally.refused(workspace, ending.refusal)
         return self._refusal(
             ending, workspace, admitted.call.request_id, request
         )
 
+    def _give_back(self, spent: Spent, refused: Refused) -> None:
+        if refused.known_outcome is Outcome.NOT_RUN:
+            self._ports.rates.give_back(spent)
+
     async def _run(
         self, request: web.BaseRequest, admitted: Admitted
     ) -> Ending:
@@ -279,6 +273,21 @@
         return web.json_response({'idempotency_key': ticket})
 
 
+def _first_call(
+    route: Route, workspace: str, request_id: str, deadline: float
+) -> Call:
+    return Call(
+        request_id=request_id,
+        chain_id=request_id,
+        workspace=workspace,
+        service=route.service,
+        priority=route.priority,
+        deadline=deadline,
+        once=route.once,
+        idempotent=route.idempotent,
+    )
+
+
 def _may_have_run(ending: Ending) -> bool:
     match ending:
         case Refused():
--- a/packages/callers/src/dragonflyknot/callers/ports.py
+++ b/packages/callers/src/dragonflyknot/callers/ports.py
@@ -11,6 +11,7 @@
 from dragonflyknot.decisions.calls import Attempt
 from dragonflyknot.decisions.chains import Chains
 from dragonflyknot.decisions.document import Configuration
+from dragonflyknot.decisions.grants import Spent
 from dragonflyknot.decisions.keyring import Keyring
 from dragonflyknot.decisions.ledger import Resolved
 from dragonflyknot.decisions.retry import RetryBudget
@@ -21,15 +22,22 @@
 from dragonflyknot.exchange.tally import Tally
 
 
+@dataclass(frozen=True, slots=True)
+class RateRefused:
+    """Tell a caller to come back after `retry_after_s` seconds."""
+
+    retry_after_s: float
+
+
 class Rates(Protocol):
     """Spend the tokens of workspaces."""
 
     async def spend(
         self, workspace: str, request_id: str, deadline: float
-    ) -> float | None:
-        """Return None for a token, or the seconds to wait for one."""
+    ) -> Spent | RateRefused:
+        """Return a token, or after a short wait that there is none."""
 
-    def give_back(self, workspace: str) -> None:
+    def give_back(self, spent: Spent) -> None:
         """Return the token of a request that did not run."""
 
 
--- a/packages/daemon/src/dragonflyknot/daemon/standalone.py
+++ b/packages/daemon/src/dragonflyknot/daemon/standalone.py
@@ -10,11 +10,12 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from dragonflyknot.callers.ports import Claimed
+from dragonflyknot.callers.ports import Claimed, RateRefused
 from dragonflyknot.daemon.policies import PolicyHolder
 from dragonflyknot.decisions import keyring, routing
 from dragonflyknot.decisions.calls import Attempt, UpstreamState
 from dragonflyknot.decisions.document import Revision
+from dragonflyknot.decisions.grants import Spent
 from dragonflyknot.decisions.ledger import ResolvedUnknown
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.exchange.refusing import Refused
@@ -61,25 +62,25 @@
 
     async def spend(
         self, workspace: str, request_id: str, deadline: float
-    ) -> float | None:
-        """Return None for a token, or the seconds to wait for one."""
+    ) -> Spent | RateRefused:
+        """Return a token, or the seconds to wait for one."""
         policy = self._policies.current()
         if policy is None:
-            return 1
+            return RateRefused(1)
         limits = policy.configuration.limits(workspace)
         if limits is None:
-            return 1
+            return RateRefused(1)
         now = time.monotonic()
         filled_at = self._filled_at_by_workspace.get(workspace, now)
         tokens = self._tokens_by_workspace.get(workspace, limits.burst)
         tokens = min(limits.burst, tokens + limits.rate * (now - filled_at))
         self._filled_at_by_workspace[workspace] = now
         self._tokens_by_workspace[workspace] = max(tokens - 1, 0)
-        return None if tokens >= 1 else 1
+        return Spent(workspace, ()) if tokens >= 1 else RateRefused(1)
 
-    def give_back(self, workspace: str) -> None:
+    def give_back(self, spent: Spent) -> None:
         """Return a token."""
-        self._tokens_by_workspace[workspace] += 1
+        self._tokens_by_workspace[spent.workspace] += 1
 
 
 def incarnation(drawn: int) -> int:
