--- a/packages/platform/src/dragonflyknot/platform/dynamodb.py
+++ b/packages/platform/src/dragonflyknot/platform/dynamodb.py
@@ -93,9 +93,8 @@
         )
         match await bounded(TABLE, call, self._settings.deadline_s):
             case Ok(response):
-                page = _decoded_page(response)
-                self.usage.reads += max(1, len(page.rows))
-                return Ok(page)
+                self.usage.reads += max(1, len(response['Items']))
+                return _decoded_page(response)
             case Err(error):
                 self.usage.reads += 1
                 return Err(read_error(TABLE, error))
@@ -179,11 +178,11 @@
     return Ok(row)
 
 
-def _decoded_page(response: Response) -> Page:
-    """Return a page; rows of another layout are left out."""
-    items = response.get('Items') or ()
-    rows = tuple(filter(None, map(_row_or_none, items)))
-    return Page(rows, more='LastEvaluatedKey' in response)
+def _decoded_page(response: Response) -> Result[Page, ReadError]:
+    rows = tuple(filter(None, map(_row_or_none, response['Items'])))
+    if len(rows) < len(response['Items']):
+        return Err(Rejected(TABLE, 'a row of another layout'))
+    return Ok(Page(rows, more='LastEvaluatedKey' in response))
 
 
 def _row_or_none(item: Attributes | None) -> Row | None:
--- /dev/null
+++ b/packages/platform/src/dragonflyknot/platform/paging.py
@@ -0,0 +1,22 @@
+"""Read a partition of the table to its end."""
+
+from dragonflyknot.platform.errors import ReadError
+from dragonflyknot.platform.interfaces import Table
+from dragonflyknot.platform.writes import Row
+from result import Err, Ok, Result
+
+
+async def read_all(
+    table: Table, partition: str, since: str = ''
+) -> Result[tuple[Row, ...], ReadError]:
+    """Return the rows of a partition beyond `since`, in order."""
+    rows: list[Row] = []
+    more = True
+    while more:
+        page = await table.query(partition, since)
+        if isinstance(page, Err):
+            return page
+        rows.extend(page.ok_value.rows)
+        more = page.ok_value.more
+        since = rows[-1].key.sort if rows else since
+    return Ok(tuple(rows))
