--- a/packages/daemon/src/dragonflyknot/daemon/options.py
+++ b/packages/daemon/src/dragonflyknot/daemon/options.py
@@ -38,6 +38,8 @@
     Option('upstream-listen', 'IP:port for the upstream', '127.0.0.1:8081'),
     Option('requests-listen', 'IP:port for forwarded requests'),
     Option('control-listen', 'IP:port for control between daemons'),
+    Option('requests-advertise', 'What peers use; empty: as listened', ''),
+    Option('control-advertise', 'What peers use; empty: as listened', ''),
     Option('operators-listen', 'IP:port for operators', '127.0.0.1:8084'),
     Option('seeds', 'Control addresses of first peers, by comma', ''),
     Option('calls', 'Services that are followed, by comma; * is all', '*'),
--- a/packages/daemon/src/dragonflyknot/daemon/settings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/settings.py
@@ -48,6 +48,7 @@
     str, Field(pattern=r'^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$', max_length=63)
 ]
 _Address = Annotated[str, AfterValidator(_address)]
+_OptionalAddress = Annotated[str, AfterValidator(_optional_address)]
 _Secret = Annotated[SecretStr, AfterValidator(_long_secret)]
 _DrainSeconds = Annotated[float, Field(gt=0, le=3600)]
 
@@ -65,6 +66,8 @@
     upstream_listen: _Address
     requests_listen: _Address
     control_listen: _Address
+    requests_advertise: _OptionalAddress
+    control_advertise: _OptionalAddress
     operators_listen: _Address
     seeds: Annotated[str, AfterValidator(_addresses)]
     calls: str
@@ -78,7 +81,7 @@
     bucket: str
     access_key: SecretStr
     secret_key: SecretStr
-    statsd: Annotated[str, AfterValidator(_optional_address)]
+    statsd: _OptionalAddress
     drain_seconds: _DrainSeconds
     log_level: Literal['debug', 'info', 'warning', 'error']
     policies: Literal['on', 'off']
--- a/packages/operators/src/dragonflyknot/operators/keys.py
+++ b/packages/operators/src/dragonflyknot/operators/keys.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
+from result import Err, Ok, Result
+
 from dragonflyknot.operators.clock import Clock
 from dragonflyknot.platform.errors import (
     ConditionFailed,
@@ -28,7 +30,6 @@
     key_log_partition,
 )
 from dragonflyknot.platform.writes import CompareAndSet, PutIfAbsent, Row, Write
-from result import Err, Ok, Result
 
 KEY_PREFIX: Final = 'dfk_'
 KEY_RANDOM_BYTES: Final = 32
--- a/packages/operators/src/dragonflyknot/operators/revisions.py
+++ b/packages/operators/src/dragonflyknot/operators/revisions.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from result import Err, Ok, Result
+
 from dragonflyknot.decisions.document import Revision
 from dragonflyknot.operators.clock import Clock
 from dragonflyknot.operators.differences import Difference, differences
@@ -30,7 +32,6 @@
     history_partition,
 )
 from dragonflyknot.platform.writes import CompareAndSet, PutIfAbsent, Row, Write
-from result import Err, Ok, Result
 
 TRIAL: Final = 'trial'
 PRODUCTION: Final = 'production'
