--- a/measure/harness/fleet.py
+++ b/measure/harness/fleet.py
@@ -14,8 +14,9 @@
 import aiohttp
 from result import Err, Ok
 
+from dragonflyknot.operators import document as documents
 from dragonflyknot.operators.clock import system_clock
-from dragonflyknot.operators.document import Document, parse
+from dragonflyknot.operators.document import Document
 from dragonflyknot.operators.keys import Keys
 from dragonflyknot.operators.revisions import Change, Revisions
 from dragonflyknot.platform.backends import Backend, RemoteBackend
@@ -275,7 +276,7 @@
 
 def parsed(text: str) -> Document:
     """Return a document that is known to be right."""
-    match parse(text):
+    match documents.parse(text):
         case Ok(document):
             return document
         case Err(faults):
--- a/packages/daemon/src/dragonflyknot/daemon/standalone.py
+++ b/packages/daemon/src/dragonflyknot/daemon/standalone.py
@@ -76,7 +76,7 @@
         tokens = min(limits.burst, tokens + limits.rate * (now - filled_at))
         self._filled_at_by_workspace[workspace] = now
         self._tokens_by_workspace[workspace] = max(tokens - 1, 0)
-        return Spent(workspace, ()) if tokens >= 1 else RateRefused(1)
+        return Spent(workspace, now) if tokens >= 1 else RateRefused(1)
 
     def give_back(self, spent: Spent) -> None:
         """Return a token."""
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -3,14 +3,15 @@
 from dataclasses import replace
 
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from dragonflyknot.decisions import members as msg
 from dragonflyknot.decisions import membership
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.document import Revision
 from dragonflyknot.decisions.memberview import MemberView
 from harness.gossipfleet import Faults, GossipFleet, build_member, restarted
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 SETTLED_S = 20
 
