--- a/measure/harness/caller.py
+++ b/measure/harness/caller.py
@@ -4,6 +4,7 @@
 import json
 import uuid
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -49,6 +50,11 @@
     torn: int = 0
     refused_by_kind: Counter[str] = field(default_factory=Counter)
     results: list[ShotResult] = field(default_factory=list)
+    once_tags: set[str] = field(default_factory=set)
+
+    def expect(self, shots: Iterable[Shot]) -> None:
+        """Note which requests may run at most once."""
+        self.once_tags.update(shot.tag for shot in shots if shot.once)
 
     def add(self, result: ShotResult) -> None:
         """Count one result."""
--- a/measure/harness/fleet.py
+++ b/measure/harness/fleet.py
@@ -270,7 +270,7 @@
     async def _until_answered(self, url: str) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
             async with aiohttp.ClientSession() as session:
-                while not await _is_ok(session, url):
+                while not await _is_ok(session, url):  # noqa: ASYNC110
                     await asyncio.sleep(POLL_S)
 
 
