--- /dev/null
+++ b/packages/peers/src/dragonflyknot/peers/controlclient.py
@@ -0,0 +1,285 @@
+"""Call the control listeners of other daemons.
+
+Every call has a deadline and ends in an answer or a `ControlError`. A
+channel on which a call failed to end in time is suspected: later calls use a
+new one, and the old one closes when its last call has ended.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from google.protobuf.message import DecodeError, Message
+from grpclib import GRPCError, Status
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.exceptions import StreamTerminatedError
+from result import Err, Ok, Result
+
+from dragonflyknot.decisions import grants, ledger, members, tickets
+from dragonflyknot.peers import controlwire, gossipwire
+from dragonflyknot.peers.badmessage import BadMessageError
+from dragonflyknot.peers.control import SECRET_METADATA
+from dragonflyknot.peers.controlwire import KeysTold
+from dragonflyknot.peers.wire import control_pb2 as wire
+from dragonflyknot.peers.wire.control_grpc import ControlStub
+
+MAX_CHANNELS = 64
+KEEPALIVE_INTERVAL_S = 10.0
+KEEPALIVE_TIMEOUT_S = 5.0
+
+_Answer = TypeVar('_Answer', bound=Message)
+_Decoded = TypeVar('_Decoded')
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSilent:
+    """Say that a peer did not answer in time or broke off."""
+
+    address: str
+
+    def __str__(self) -> str:
+        """Return the message with its remedy."""
+        return (
+            f'{self.address} did not answer; check that its daemon runs and'
+            ' that the network lets control connections through.'
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRefused:
+    """Say that a peer answered with an error, or with a wrong message."""
+
+    address: str
+    status: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the message with its remedy."""
+        return (
+            f'{self.address} refused the call ({self.status}): {self.reason}'
+            ' Run the same release and fleet secret on all daemons.'
+        )
+
+
+ControlError = PeerSilent | PeerRefused
+
+
+@dataclass(slots=True)
+class _Entry:
+    channel: Channel
+    stub: ControlStub
+    calls: int = 0
+    is_suspected: bool = False
+
+
+class ControlClient:
+    """Own the channels by address (IP:port); a context manager."""
+
+    def __init__(self, secret: str) -> None:
+        """Keep the fleet secret that every call carries."""
+        self._metadata = {SECRET_METADATA: secret}
+        self._entries_by_address: dict[str, _Entry] = {}
+
+    async def __aenter__(self) -> 'ControlClient':
+        """Start without channels."""
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        """Close all channels."""
+        for entry in self._entries_by_address.values():
+            entry.channel.close()
+        self._entries_by_address.clear()
+
+    async def gossip(
+        self, address: str, message: members.Gossip, timeout_s: float
+    ) -> Result[members.Gossip, ControlError]:
+        """Exchange what is known of the fleet."""
+        encoded = gossipwire.encode_gossip(message)
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.Gossip(
+                encoded, timeout=timeout_s, metadata=self._metadata
+            ),
+            gossipwire.decode_gossip,
+        )
+
+    async def resolve(
+        self, address: str, attempt_id: str, incarnation: int, timeout_s: float
+    ) -> Result[ledger.Resolved, ControlError]:
+        """Ask a gate what became of an attempt."""
+        request = wire.ResolveRequest(
+            attempt_id=attempt_id, incarnation=incarnation
+        )
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.Resolve(
+                request, timeout=timeout_s, metadata=self._metadata
+            ),
+            controlwire.decode_resolved,
+        )
+
+    async def ask_grant(
+        self, address: str, request: grants.GrantRequest, timeout_s: float
+    ) -> Result[grants.GrantAnswer, ControlError]:
+        """Ask a holder for tokens."""
+        encoded = controlwire.encode_grant_request(request)
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.AskGrant(
+                encoded, timeout=timeout_s, metadata=self._metadata
+            ),
+            controlwire.decode_grant_answer,
+        )
+
+    async def content(
+        self, address: str, digest: str, timeout_s: float
+    ) -> Result[bytes, ControlError]:
+        """Fetch a manifest or a section."""
+        request = wire.ObjectRequest(digest=digest)
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.FetchObject(
+                request, timeout=timeout_s, metadata=self._metadata
+            ),
+            _content_of,
+        )
+
+    async def keys(
+        self, address: str, since: int, timeout_s: float
+    ) -> Result[KeysTold, ControlError]:
+        """Fetch the key changes since a number."""
+        request = wire.KeysRequest(since=since)
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.FetchKeys(
+                request, timeout=timeout_s, metadata=self._metadata
+            ),
+            controlwire.decode_keys,
+        )
+
+    async def spend(
+        self, address: str, spending: tickets.Spending, timeout_s: float
+    ) -> Result[tickets.TicketAnswer, ControlError]:
+        """Spend a ticket at its guard."""
+        request = controlwire.encode_spending(spending, release=False)
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.SpendTicket(
+                request, timeout=timeout_s, metadata=self._metadata
+            ),
+            controlwire.decode_ticket_answer,
+        )
+
+    async def release(
+        self, address: str, spending: tickets.Spending, timeout_s: float
+    ) -> Result[tickets.TicketAnswer, ControlError]:
+        """Release a ticket whose request did not run."""
+        request = controlwire.encode_spending(spending, release=True)
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.SpendTicket(
+                request, timeout=timeout_s, metadata=self._metadata
+            ),
+            controlwire.decode_ticket_answer,
+        )
+
+    async def announce_withdrawal(
+        self, address: str, key_hash: str, timeout_s: float
+    ) -> Result[None, ControlError]:
+        """Announce a withdrawal ahead of its write to the table."""
+        request = wire.WithdrawalNotice(key_hash=key_hash)
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.AnnounceWithdrawal(
+                request, timeout=timeout_s, metadata=self._metadata
+            ),
+            _nothing_of,
+        )
+
+    async def _call(
+        self,
+        address: str,
+        timeout_s: float,
+        send: Callable[[ControlStub], Awaitable[_Answer]],
+        decode: Callable[[_Answer], _Decoded],
+    ) -> Result[_Decoded, ControlError]:
+        entry = self._entry(address)
+        entry.calls += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await send(entry.stub)
+            return Ok(decode(answer))
+        except GRPCError as error:
+            return Err(self._error(address, entry, error))
+        except (TimeoutError, OSError, StreamTerminatedError):
+            self._suspect(address, entry)
+            return Err(PeerSilent(address))
+        except (BadMessageError, DecodeError) as error:
+            return Err(PeerRefused(address, 'BAD_MESSAGE', str(error)))
+        finally:
+            entry.calls -= 1
+            _close_if_done(entry)
+
+    def _error(
+        self, address: str, entry: _Entry, error: GRPCError
+    ) -> ControlError:
+        if error.status is Status.DEADLINE_EXCEEDED:
+            self._suspect(address, entry)
+            return PeerSilent(address)
+        return PeerRefused(address, error.status.name, error.message or '')
+
+    def _entry(self, address: str) -> _Entry:
+        entry = self._entries_by_address.pop(address, None)
+        if entry is None:
+            entry = _opened(address)
+        # The least recently used address stands first.
+        self._entries_by_address[address] = entry
+        if len(self._entries_by_address) > MAX_CHANNELS:
+            oldest = next(iter(self._entries_by_address))
+            self._suspect(oldest, self._entries_by_address[oldest])
+        return entry
+
+    def _suspect(self, address: str, entry: _Entry) -> None:
+        if self._entries_by_address.get(address) is entry:
+            self._entries_by_address.pop(address)
+        entry.is_suspected = True
+        _close_if_done(entry)
+
+
+def _opened(address: str) -> _Entry:
+    host, _, port = address.rpartition(':')
+    channel = Channel(
+        host.strip('[]'),
+        int(port),
+        config=Configuration(
+            _keepalive_time=KEEPALIVE_INTERVAL_S,
+            _keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            _keepalive_permit_without_calls=True,
+            _http2_max_pings_without_data=0,
+            _http2_min_sent_ping_interval_without_data=KEEPALIVE_INTERVAL_S,
+        ),
+    )
+    return _Entry(channel, ControlStub(channel))
+
+
+def _close_if_done(entry: _Entry) -> None:
+    if entry.is_suspected and entry.calls == 0:
+        entry.channel.close()
+
+
+def _content_of(answer: wire.ObjectAnswer) -> bytes:
+    return answer.content
+
+
+def _nothing_of(_answer: wire.WithdrawalHeard) -> None:
+    """Read an answer that says nothing."""
--- /dev/null
+++ b/packages/peers/src/dragonflyknot/peers/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages of the control channel; the modules are generated."""
