--- a/packages/exchange/src/dragonflyknot/exchange/heads.py
+++ b/packages/exchange/src/dragonflyknot/exchange/heads.py
@@ -26,10 +26,6 @@
     )
 )
 _FRAMING = frozenset(('content-length', 'host', 'server', 'date'))
-_TOKEN_CHARACTERS = frozenset(
-    "!#$%&'*+-.^_`|~0123456789"
-    'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ'
-)
 _NO_EXTRA: Mapping[str, str] = MappingProxyType({})
 
 
@@ -57,11 +53,6 @@
     return head
 
 
-def is_token(text: str) -> bool:
-    """Tell whether a text is an HTTP token of at most 128 characters."""
-    return 0 < len(text) <= 128 and _TOKEN_CHARACTERS.issuperset(text)
-
-
 def _end_to_end(
     received: CIMultiDictProxy[str], dropped_prefixes: tuple[str, ...]
 ) -> CIMultiDict[str]:
--- /dev/null
+++ b/tests/unit/test_attempts.py
@@ -0,0 +1,187 @@
+"""Check how the edge retries a call, with scripted gates."""
+
+import random
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import cast
+
+import testtools
+from aiohttp import web
+from multidict import CIMultiDict
+
+from asyncrun import run_async
+from dragonflyknot.callers import ports
+from dragonflyknot.callers.attempts import Attempts, CallRun, Ending
+from dragonflyknot.decisions import ledger, routing
+from dragonflyknot.decisions.calls import (
+    Attempt,
+    Call,
+    Outcome,
+    UpstreamState,
+)
+from dragonflyknot.decisions.chains import Chains
+from dragonflyknot.decisions.keyring import Keyring
+from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.decisions.retry import RetryBudget, RetryPool
+from dragonflyknot.exchange.bodies import RequestBody
+from dragonflyknot.exchange.refusing import Refused
+from dragonflyknot.exchange.sending import (
+    Lost,
+    Outgoing,
+    Received,
+    Rejected,
+)
+from dragonflyknot.exchange.tally import Tally
+
+HOSTS = ('host-1', 'host-2', 'host-3', 'host-4', 'host-5', 'host-6')
+SHED = Rejected(Refused(Refusal.SHED, 1), None, retries_unused=9)
+FINAL = Rejected(Refused(Refusal.SHED, 1, is_final=True), None, 9)
+BROKE = Rejected(Refused(Refusal.UPSTREAM_BROKE), None, 9)
+UNREACHABLE = Lost(was_sent=False)
+
+
+@dataclass(slots=True)
+class ScriptedSender:
+    """Answer attempts and questions from a script."""
+
+    script: list[Received]
+    resolved: ledger.Resolved = field(default_factory=ledger.ResolvedUnknown)
+    sent: list[Attempt] = field(default_factory=list)
+
+    def epoch(self, host: str) -> int:
+        """Return the first epoch."""
+        return 0
+
+    async def send(self, attempt: Attempt, outgoing: Outgoing) -> Received:
+        """Return the next answer of the script; the last one stays."""
+        self.sent.append(attempt)
+        if len(self.script) > 1:
+            return self.script.pop(0)
+        return self.script[0]
+
+    async def resolve(self, attempt: Attempt) -> ledger.Resolved:
+        """Return the scripted resolution."""
+        return self.resolved
+
+    def suspect(self, host: str) -> None:
+        """Accept the suspicion."""
+
+
+def run_call(
+    sender: ScriptedSender, retries: int, *, idempotent: bool = False
+) -> Ending:
+    """Run one call against scripted gates."""
+    return run_async(_run(sender, retries, idempotent))
+
+
+async def _run(
+    sender: ScriptedSender, retries: int, idempotent: bool
+) -> Ending:
+    now = time.monotonic()
+    router = routing.Router('edge', 'dc', 'region')
+    for host in HOSTS:
+        seen = routing.TargetSeen(
+            host, 1, 'profile', 'dc', 'region', UpstreamState.READY, None
+        )
+        router.handle(seen, now)
+    unused = cast('object', None)
+    edge_ports = ports.EdgePorts(
+        policies=cast('ports.Policies', unused),
+        keyring=cast('Keyring', unused),
+        rates=cast('ports.Rates', unused),
+        router=router,
+        budget=generous_budget(now),
+        sender=sender,
+        operations=cast('ports.Operations', unused),
+        chains=cast('Chains', unused),
+        tally=Tally(),
+        rng=random.Random(1),
+    )
+    request = cast('web.BaseRequest', unused)
+    call = Call('r', 'c', 'w', 'profile', 5, now + 5, idempotent=idempotent)
+    outgoing = Outgoing('GET', '/', CIMultiDict(), RequestBody(b'', 0, request))
+    run = CallRun(call, request, outgoing, RetryPool(retries))
+    return await Attempts(edge_ports).run(run)
+
+
+def generous_budget(now: float) -> RetryBudget:
+    """Return a budget that many successes have filled."""
+    budget = RetryBudget()
+    for _ in range(1000):
+        budget.succeeded(now)
+    return budget
+
+
+def outcome_of(ending: Ending) -> Outcome:
+    """Return the outcome of a refusal."""
+    assert isinstance(ending, Refused)
+    return ending.known_outcome
+
+
+def hosts_of(attempts: Iterable[Attempt]) -> list[str]:
+    """Return where attempts went."""
+    return [attempt.host for attempt in attempts]
+
+
+class RetryTest(testtools.TestCase):
+    """Only what did not run, or may run again, is retried."""
+
+    def test_attempts_are_bounded_by_the_pool(self) -> None:
+        for retries in range(4):
+            for received in (SHED, UNREACHABLE):
+                sender = ScriptedSender([received])
+                ending = run_call(sender, retries)
+                self.assertIs(Outcome.NOT_RUN, outcome_of(ending))
+                self.assertEqual(retries + 1, len(sender.sent))
+                hosts = hosts_of(sender.sent)
+                self.assertEqual(len(hosts), len(set(hosts)))
+
+    def test_deeper_refusal_is_final(self) -> None:
+        sender = ScriptedSender([FINAL])
+        run_call(sender, 3)
+        self.assertEqual(1, len(sender.sent))
+
+    def test_failure_may_have_run(self) -> None:
+        sender = ScriptedSender([BROKE])
+        ending = run_call(sender, 3)
+        self.assertIs(Outcome.UNKNOWN, outcome_of(ending))
+        self.assertEqual(1, len(sender.sent))
+
+    def test_idempotent_failure_is_retried(self) -> None:
+        sender = ScriptedSender([BROKE])
+        run_call(sender, 2, idempotent=True)
+        self.assertEqual(3, len(sender.sent))
+
+    def test_refusal_after_a_failure_does_not_promise(self) -> None:
+        sender = ScriptedSender([BROKE, SHED])
+        ending = run_call(sender, 1, idempotent=True)
+        self.assertIs(Outcome.UNKNOWN, outcome_of(ending))
+
+
+class LostAttemptTest(testtools.TestCase):
+    """A lost attempt is sent again only when it is bound never to run."""
+
+    def test_never_is_retried_and_promised(self) -> None:
+        sender = ScriptedSender([Lost(True)], ledger.ResolvedNever())
+        ending = run_call(sender, 2)
+        self.assertIs(Outcome.NOT_RUN, outcome_of(ending))
+        self.assertEqual(3, len(sender.sent))
+
+    def test_others_are_not_sent_again(self) -> None:
+        cases = (
+            (ledger.ResolvedUnknown(), Outcome.UNKNOWN),
+            (ledger.ResolvedRunning(), Outcome.UNKNOWN),
+            (ledger.ResolvedQueued(), Outcome.UNKNOWN),
+            (ledger.ResolvedFinished(answer_kept=False), Outcome.RAN),
+        )
+        for resolved, outcome in cases:
+            sender = ScriptedSender([Lost(True)], resolved)
+            ending = run_call(sender, 2)
+            self.assertIs(outcome, outcome_of(ending))
+            self.assertEqual(1, len(sender.sent))
+
+    def test_lost_attempt_spends_what_it_was_handed(self) -> None:
+        sender = ScriptedSender([Lost(True)], ledger.ResolvedUnknown())
+        run_call(sender, 9, idempotent=True)
+        self.assertEqual(2, len(sender.sent))
