--- /dev/null
+++ b/measure/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the decisions, each against a baseline in the same run."""
--- a/packages/decisions/src/dragonflyknot/decisions/admission.py
+++ b/packages/decisions/src/dragonflyknot/decisions/admission.py
@@ -284,6 +284,7 @@
             waiter = self._queue.remove(attempt_id)
             if waiter is not None:
                 commands.append(self._drop(waiter, now))
+                commands.extend(self._shed_below(waiter.priority))
         return tuple(commands)
 
     def _drop(self, waiter: Waiter, now: float) -> Refuse:
@@ -296,11 +297,23 @@
         if len(self._queue) <= self._service.queue_limit:
             return ()
         lowest = self._queue.lowest_priority() or LOWEST_PRIORITY
+        return self._shed_one(lowest)
+
+    def _shed_one(self, lowest: int) -> tuple[Command, ...]:
         waiter = self._queue.shed(self._cost_s(lowest))
         if waiter is None:
             return ()
         return (self._refuse(waiter.attempt_id, Refusal.SHED),)
 
+    def _shed_below(self, priority: int) -> list[Command]:
+        """Shed what is less important than a waiter that was dropped."""
+        commands: list[Command] = []
+        while (lowest := self._queue.lowest_priority()) is not None:
+            if lowest >= priority:
+                break
+            commands.extend(self._shed_one(lowest))
+        return commands
+
     def _refuse_all(self, refusal: Refusal) -> tuple[Command, ...]:
         commands: list[Command] = []
         while (waiter := self._queue.pop()) is not None:
--- a/packages/decisions/src/dragonflyknot/decisions/concurrency.py
+++ b/packages/decisions/src/dragonflyknot/decisions/concurrency.py
@@ -30,9 +30,14 @@
 
 @unique
 class Verdict(Enum):
-    """Say how an upstream ended a request."""
+    """Say how an upstream ended a request.
+
+    `DEEPER` is a failure that a deeper service caused; it says nothing
+    about this upstream.
+    """
 
     SUCCEEDED = 'succeeded'
+    DEEPER = 'deeper'
     FAILED = 'failed'
     REFUSED = 'refused'
     TIMED_OUT = 'timed-out'
@@ -131,7 +136,7 @@
         if running >= self.limit * 0.8:
             window.busy += 1
         match verdict:
-            case Verdict.SUCCEEDED:
+            case Verdict.SUCCEEDED | Verdict.DEEPER:
                 self._sample(priority, own_s, now)
             case Verdict.REFUSED:
                 window.refused += 1
--- a/packages/decisions/src/dragonflyknot/decisions/fairqueue.py
+++ b/packages/decisions/src/dragonflyknot/decisions/fairqueue.py
@@ -16,6 +16,8 @@
 
 MAX_IDLE_FLOWS = 1024
 MIN_WEIGHT = 1e-3
+BURST_REQUESTS = 16
+MEAN_COST_WEIGHT = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,7 @@
     """Hold the flows of one priority; `clock` is the tag last started."""
 
     clock: float = 0
+    mean_cost: float = 0
     waiting: int = 0
     flows_by_workspace: dict[str, _Flow] = field(default_factory=dict)
     active_by_workspace: dict[str, _Flow] = field(default_factory=dict)
@@ -93,7 +96,7 @@
         self._sequence += 1
         ranked = (-waiter.depth, waiter.deadline, self._sequence, waiter)
         if not flow.ranked:
-            flow.tag = max(flow.tag, level.clock)
+            flow.tag = max(flow.tag, self._floor(level))
             level.active_by_workspace[waiter.workspace] = flow
         insort(flow.ranked, ranked)
         level.waiting += 1
@@ -135,8 +138,10 @@
         """Count a start against its workspace."""
         level = self._level(priority)
         flow = _flow(level, workspace)
-        flow.tag = max(flow.tag, level.clock)
-        level.clock = flow.tag
+        if not flow.ranked:
+            flow.tag = max(flow.tag, self._floor(level))
+        level.clock = max(level.clock, flow.tag)
+        level.mean_cost += MEAN_COST_WEIGHT * (cost - level.mean_cost)
         flow.tag += cost / self._weight(workspace)
         if len(level.flows_by_workspace) > MAX_IDLE_FLOWS:
             _forget_idle(level)
@@ -156,6 +161,10 @@
             self._priorities = sorted(self._levels_by_priority, reverse=True)
         return level
 
+    def _floor(self, level: _Level) -> float:
+        """Return the tag at which an idle flow rejoins."""
+        return level.clock - BURST_REQUESTS * level.mean_cost
+
     def _last_flow(self, level: _Level, cost: float) -> _Flow:
         def last_tag(flow: _Flow) -> tuple[bool, float]:
             backlog = cost * len(flow.ranked) / self._weight(flow.workspace)
--- a/packages/decisions/src/dragonflyknot/decisions/retry.py
+++ b/packages/decisions/src/dragonflyknot/decisions/retry.py
@@ -19,6 +19,8 @@
 BUDGET_REFILL_PER_S = 0.5
 BUDGET_HALF_LIFE_S = 2.0
 
+MAX_WORKSPACES = 1024
+
 BACKOFF_BASE_S = 0.01
 BACKOFF_CEILING_S = 0.25
 
@@ -89,12 +91,51 @@
 
 
 class RetryBudget:
-    """Cap the retries of a daemon to a fraction of its recent successes."""
+    """Cap the retries of a daemon to a fraction of its recent successes.
+
+    Each workspace earns for itself, so that the refusals of one that floods
+    don't use up the retries of the others.
+    """
+
+    __slots__ = ('_earnings_by_workspace',)
+
+    def __init__(self) -> None:
+        """Start without successes."""
+        self._earnings_by_workspace: dict[str, _Earnings] = {}
+
+    def succeeded(self, now: float, workspace: str = '') -> None:
+        """Earn a part of a retry with a success."""
+        self._earnings(workspace).succeeded(now)
+
+    def may_retry(self, now: float, workspace: str = '') -> bool:
+        """Return whether a whole retry is at hand."""
+        return self._earnings(workspace).may_retry(now)
+
+    def retried(self, now: float, workspace: str = '') -> None:
+        """Pay for a retry."""
+        self._earnings(workspace).retried(now)
+
+    def _earnings(self, workspace: str) -> '_Earnings':
+        earnings = self._earnings_by_workspace.pop(workspace, None)
+        if earnings is None:
+            earnings = _Earnings()
+            self._forget_oldest()
+        self._earnings_by_workspace[workspace] = earnings
+        return earnings
+
+    def _forget_oldest(self) -> None:
+        if len(self._earnings_by_workspace) >= MAX_WORKSPACES:
+            oldest = next(iter(self._earnings_by_workspace))
+            self._earnings_by_workspace.pop(oldest)
+
+
+class _Earnings:
+    """Count what the successes of one workspace have earned."""
 
     __slots__ = ('_earned', '_reserve', '_seen_at')
 
     def __init__(self) -> None:
-        """Start with the reserve that lets a quiet daemon retry."""
+        """Start with the reserve that lets a quiet workspace retry."""
         self._earned = float(0)
         self._reserve = BUDGET_FLOOR
         self._seen_at: float | None = None
--- a/packages/decisions/src/dragonflyknot/decisions/routing.py
+++ b/packages/decisions/src/dragonflyknot/decisions/routing.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass, field
 
 from dragonflyknot.decisions.calls import LoadReport, UpstreamState
+from dragonflyknot.decisions.document import LOWEST_PRIORITY, OPEN_WORKSPACE
 from dragonflyknot.decisions.randomness import Randomness
 from dragonflyknot.decisions.refusals import Refusal
-from dragonflyknot.decisions.targets import Distance, Ending, TargetState
+from dragonflyknot.decisions.targets import Claim, Distance, Ending, TargetState
 
 __all__ = (
     'AttemptEnded',
@@ -58,6 +59,8 @@
     host: str
     attempt_id: str
     body_bytes: int
+    workspace: str = OPEN_WORKSPACE
+    priority: int = LOWEST_PRIORITY
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,11 +128,8 @@
                 self._see(event, now)
             case TargetGone(host):
                 self._forget(host)
-            case AttemptSent(host, attempt_id, body_bytes):
-                target = self._targets_by_host.get(host)
-                if target is not None:
-                    target.attempt_ids.add(attempt_id)
-                    self._count_link(target, body_bytes)
+            case AttemptSent():
+                self._send(event)
             case AttemptEnded():
                 self._end(event, now)
 
@@ -141,6 +141,7 @@
         large: bool,
         now: float,
         rng: Randomness,
+        workspace: str = OPEN_WORKSPACE,
     ) -> Target | NoTarget:
         """Return the target of an attempt, or why there is none.
 
@@ -150,7 +151,8 @@
         group = self._groups_by_service.get(service)
         if group is None:
             return NoTarget(Refusal.NO_UPSTREAM, RETRY_AFTER_S)
-        choice = _Choice(group, priority, excluded, now, rng)
+        claim = Claim(workspace, priority)
+        choice = _Choice(group, claim, excluded, now, rng)
         target = choice.best(large)
         if target is None:
             return NoTarget(choice.refusal(), RETRY_AFTER_S)
@@ -161,7 +163,7 @@
     def in_flight(self, host: str) -> int:
         """Return how many attempts of this daemon are at a host."""
         target = self._targets_by_host.get(host)
-        return len(target.attempt_ids) if target else 0
+        return target.in_flight if target else 0
 
     def targets(self) -> tuple[TargetState, ...]:
         """Return what is known, for the state dump."""
@@ -202,11 +204,22 @@
         if not group.targets():
             self._groups_by_service.pop(target.service)
 
+    def _send(self, event: AttemptSent) -> None:
+        target = self._targets_by_host.get(event.host)
+        if target is not None:
+            claim = Claim(event.workspace, event.priority)
+            target.claims_by_attempt[event.attempt_id] = claim
+            self._count_link(target, event.body_bytes)
+
     def _end(self, event: AttemptEnded, now: float) -> None:
         target = self._targets_by_host.get(event.host)
-        if target is None or event.attempt_id not in target.attempt_ids:
+        if target is None:
+            return
+        claim = target.claims_by_attempt.pop(event.attempt_id, None)
+        if claim is None:
             return
-        target.attempt_ids.discard(event.attempt_id)
+        if event.ending is Ending.REFUSED:
+            target.refused(claim, now)
         self._count_link(target, event.answer_bytes)
         if event.report is not None:
             target.learn(event.report, now)
@@ -233,7 +246,7 @@
     """Find the target of one attempt."""
 
     group: _Group
-    priority: int
+    claim: Claim
     excluded: frozenset[str]
     now: float
     rng: Randomness
@@ -258,7 +271,7 @@
     def is_invited(self, target: TargetState) -> bool:
         """Return whether the last report of the target admits the attempt."""
         report = target.report
-        return report is None or report.prompt <= self.priority
+        return report is None or report.prompt <= self.claim.priority
 
     def refusal(self) -> Refusal:
         """Return why no target was found."""
@@ -306,12 +319,19 @@
         return self.rng.random() < target.return_share(self.now)
 
     def _prompt(self, target: TargetState) -> bool:
-        return self._usable(target) and target.is_prompt(
-            self.priority, self.now
-        )
+        prompt = target.is_prompt(self.claim.priority, self.now)
+        refused = target.has_refused(self.claim, self.now)
+        return prompt and not refused and self._usable(target)
+
+    def _open(self, target: TargetState) -> bool:
+        """Accept a target that did not refuse the same lately."""
+        refused = target.has_refused(self.claim, self.now)
+        return not refused and self._admitting(target)
 
     def _admitting(self, target: TargetState) -> bool:
-        return self._usable(target) and target.admits(self.priority, self.now)
+        return self._usable(target) and target.admits(
+            self.claim.priority, self.now
+        )
 
     def _last_resort(self, target: TargetState) -> bool:
         """Accept a suspect target, but never one that is ejected."""
@@ -319,7 +339,7 @@
             target.host not in self.excluded
             and target.accepts()
             and self.now >= target.ejected_until
-            and target.admits(self.priority, self.now)
+            and target.admits(self.claim.priority, self.now)
         )
 
 
@@ -330,9 +350,15 @@
     choice: _Choice,
 ) -> tuple[tuple[tuple[Distance, ...], _Test], ...]:
     prompt = (far, choice._prompt)
+    near_open = (near, choice._open)
+    rest = (
+        (far, choice._open),
+        (near, choice._admitting),
+        (far, choice._admitting),
+    )
     if large:
-        return ((near, choice._admitting), prompt, (far, choice._admitting))
-    return (prompt, (near, choice._admitting), (far, choice._admitting))
+        return (near_open, prompt, *rest)
+    return (prompt, near_open, *rest)
 
 
 def _is_replaced(known: TargetState, event: TargetSeen) -> bool:
--- a/packages/decisions/src/dragonflyknot/decisions/targets.py
+++ b/packages/decisions/src/dragonflyknot/decisions/targets.py
@@ -19,6 +19,8 @@
 REPORT_AGE_S = 0.5
 PROBE_INTERVAL_S = 0.1
 HEARSAY_DELAY_S = 3.0
+REFUSED_S = 0.2
+MAX_REFUSED_CLAIMS = 1024
 
 
 @unique
@@ -26,9 +28,11 @@
     """Say how an attempt ended, as the edge saw it.
 
     `UNREACHABLE` means that no connection came about, so nothing ran.
+    `DEEPER` is a failure that a deeper service caused.
     """
 
     DONE = 'done'
+    DEEPER = 'deeper'
     REFUSED = 'refused'
     FAILED = 'failed'
     SILENT = 'silent'
@@ -45,6 +49,14 @@
     FAR = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Say for whom and how urgently an attempt asks."""
+
+    workspace: str
+    priority: int
+
+
 @dataclass(slots=True)
 class TargetState:
     """Hold what is known about a target; times are monotonic seconds."""
@@ -60,7 +72,8 @@
     reported_at: float = 0
     reported_directly: bool = False
     own_at_report: int = 0
-    attempt_ids: set[str] = field(default_factory=set)
+    claims_by_attempt: dict[str, Claim] = field(default_factory=dict)
+    refused_until_by_claim: dict[Claim, float] = field(default_factory=dict)
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0
@@ -68,6 +81,11 @@
     suspect_until: float = 0
     probed_at: float = 0
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many attempts of this daemon are there."""
+        return len(self.claims_by_attempt)
+
     def learn(self, report: LoadReport, now: float) -> None:
         """Take a load report that came with an answer."""
         self.reported_directly = True
@@ -98,7 +116,7 @@
 
     def load(self, now: float) -> float:
         """Return the estimated share of the limit that is in use."""
-        own = len(self.attempt_ids)
+        own = self.in_flight
         if self.report is None:
             return float(own)
         busy = self.report.running + self.report.queued
@@ -115,6 +133,16 @@
             return True
         return self._may_probe(now)
 
+    def has_refused(self, claim: Claim, now: float) -> bool:
+        """Return whether the gate has lately refused such an attempt."""
+        return self.refused_until_by_claim.get(claim, 0) > now
+
+    def refused(self, claim: Claim, now: float) -> None:
+        """Remember a refusal for a short time."""
+        if len(self.refused_until_by_claim) >= MAX_REFUSED_CLAIMS:
+            self.refused_until_by_claim.clear()
+        self.refused_until_by_claim[claim] = now + REFUSED_S
+
     def is_prompt(self, priority: int, now: float) -> bool:
         """Return whether the gate would start the priority soon."""
         report = self.report
@@ -127,7 +155,7 @@
     def ended(self, ending: Ending, now: float) -> bool:
         """Count an ending; return whether the target should be ejected."""
         match ending:
-            case Ending.DONE | Ending.REFUSED:
+            case Ending.DONE | Ending.DEEPER | Ending.REFUSED:
                 self._succeed(now)
             case Ending.SILENT:
                 self.suspect_until = now + SUSPICION_S
@@ -156,7 +184,7 @@
     def _keep(self, report: LoadReport, now: float) -> None:
         self.report = report
         self.reported_at = now
-        self.own_at_report = len(self.attempt_ids)
+        self.own_at_report = self.in_flight
 
     def _succeed(self, now: float) -> None:
         self.failures = 0
