--- a/measure/experiments/__init__.py
+++ b/measure/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Named experiments that measure the policies."""
+"""Experiments on the decisions, each against a baseline in the same run."""
