Refuse attempts that carry the epoch of an earlier process for good

Cause: an edge that heard a late answer of a former process stamped its next attempt with an epoch that the new process had not reached; the gate called it a duplicate, whose outcome is unknown, although it never ran.

--- a/packages/decisions/src/dragonflyknot/decisions/ledger.py
+++ b/packages/decisions/src/dragonflyknot/decisions/ledger.py
@@ -145,9 +145,14 @@
         if state is _State.NEVER:
             return Revoked()
         epoch = epoch_of(attempt_id)
-        if state is not None or not self._floor <= epoch <= current:
+        age = current - epoch
+        if state is not None or epoch < self._floor or age < -KEPT_EPOCHS:
             return Duplicate()
-        if current - epoch >= ACCEPTED_EPOCHS:
+        if age >= ACCEPTED_EPOCHS:
+            return Revoked()
+        if age < 0:
+            # The edge still knew the epoch of an earlier process.
+            self._record(attempt_id, epoch, _State.NEVER)
             return Revoked()
         self._record(attempt_id, epoch, _State.QUEUED)
         return Accepted()
@@ -198,14 +203,14 @@
 
     def _record(self, attempt_id: str, epoch: int, state: _State) -> None:
         self._states_by_attempt[attempt_id] = state
-        self._attempts_by_epoch[epoch].append(attempt_id)
+        self._attempts_by_epoch.setdefault(epoch, []).append(attempt_id)
         self._recorded += 1
 
     def _advance(self, now: float) -> None:
         self._epoch += 1
         self._epoch_end = now + EPOCH_S
         self._recorded = 0
-        self._attempts_by_epoch[self._epoch] = []
+        self._attempts_by_epoch.setdefault(self._epoch, [])
         while self._floor <= self._epoch - KEPT_EPOCHS:
             self._forget(self._floor)
             self._floor += 1
