--- a/measure/experiments/fleet.py
+++ b/measure/experiments/fleet.py
@@ -33,7 +33,6 @@
     Target,
     TargetSeen,
 )
-
 from experiments.policies import GatePolicy, Policies, PoolPolicy
 from experiments.virtual import FakeUpstream, VirtualLoop
 
--- a/measure/experiments/load.py
+++ b/measure/experiments/load.py
@@ -11,7 +11,6 @@
 
 from dragonflyknot.decisions.retry import spread_retry_after_s
 from dragonflyknot.decisions.routing import Ending
-
 from experiments.fleet import EdgeCall, Fleet, Node, Reply, Request
 from experiments.virtual import spread_work_s
 
--- a/measure/experiments/ratios.py
+++ b/measure/experiments/ratios.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from dragonflyknot.decisions.document import HIGHEST_PRIORITY
-
 from experiments.load import Wish
 
 BIN_S = 0.1
--- a/measure/experiments/scenarios.py
+++ b/measure/experiments/scenarios.py
@@ -10,7 +10,6 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.document import Service
-
 from experiments.fleet import Fleet, GateHost, Place
 from experiments.load import Stream
 from experiments.ratios import Window
