--- /dev/null
+++ b/packages/operators/src/dragonflyknot/operators/keycommands.py
@@ -0,0 +1,152 @@
+"""The commands on keys: issue, withdraw and list."""
+
+from dataclasses import asdict, dataclass
+from typing import ClassVar
+
+from cleo.helpers import argument
+from result import Err
+
+from dragonflyknot.operators.base import (
+    BaseCommand,
+    Failure,
+    Output,
+    failure_of,
+    options_of,
+)
+from dragonflyknot.operators.clock import system_clock
+from dragonflyknot.operators.document import Document
+from dragonflyknot.operators.flags import (
+    ENVIRONMENT,
+    LABEL,
+    PLATFORM,
+    Settings,
+)
+from dragonflyknot.operators.keys import Keys
+from dragonflyknot.operators.revisions import Revisions
+from dragonflyknot.platform.backends import Backend, RemoteBackend
+from dragonflyknot.platform.rows import KeyChangeBody
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownWorkspace:
+    """Say that the document in force has no such workspace."""
+
+    workspace: str
+    known: tuple[str, ...]
+
+    def __str__(self) -> str:
+        listed = ', '.join(self.known) or 'none'
+        return (
+            f'The document in force has no workspace {self.workspace!r}; name'
+            f' one of these or add it to the document: {listed}.'
+        )
+
+
+class KeyIssueCommand(BaseCommand):
+    """Issue a key and show it this once."""
+
+    name = 'key issue'
+    description = 'Issue a key of a workspace and show it once.'
+    flags: ClassVar = (ENVIRONMENT, LABEL, *PLATFORM)
+    arguments: ClassVar = [argument('workspace', 'Name of the workspace')]
+    options: ClassVar = options_of(*flags)
+
+    async def work(self, settings: Settings) -> Output | Failure:
+        """Report the new key."""
+        async with RemoteBackend(settings.platform()) as backend:
+            return await self._issue(backend, settings)
+
+    async def _issue(
+        self, backend: Backend, settings: Settings
+    ) -> Output | Failure:
+        environment = settings.text(ENVIRONMENT)
+        workspace = self.argument('workspace')
+        revisions = Revisions(backend, system_clock())
+        document = await revisions.document(environment)
+        if isinstance(document, Err):
+            return failure_of(document.err_value)
+        known = _workspaces(document.ok_value)
+        if workspace not in known:
+            return Failure(UnknownWorkspace(workspace, known))
+        keys = Keys(backend.table, environment, system_clock())
+        issued = await keys.issue(workspace, settings.text(LABEL))
+        if isinstance(issued, Err):
+            return failure_of(issued.err_value)
+        members = {
+            'key': issued.ok_value.key,
+            'key_id': issued.ok_value.change.key_id,
+            'workspace': workspace,
+            'sequence': issued.ok_value.change.sequence,
+        }
+        return Output(
+            f'{issued.ok_value.key}\nThis key is shown once; its identifier is'
+            f' {issued.ok_value.change.key_id}.',
+            members,
+        )
+
+
+class KeyWithdrawCommand(BaseCommand):
+    """Withdraw a key for good."""
+
+    name = 'key withdraw'
+    description = 'Withdraw a key; it stops working within seconds.'
+    flags: ClassVar = (ENVIRONMENT, *PLATFORM)
+    arguments: ClassVar = [argument('key-id', 'Identifier of the key')]
+    options: ClassVar = options_of(*flags)
+
+    async def work(self, settings: Settings) -> Output | Failure:
+        """Report the withdrawal."""
+        async with RemoteBackend(settings.platform()) as backend:
+            keys = Keys(
+                backend.table, settings.text(ENVIRONMENT), system_clock()
+            )
+            withdrawn = await keys.withdraw(self.argument('key-id'))
+        if isinstance(withdrawn, Err):
+            return failure_of(withdrawn.err_value)
+        change = withdrawn.ok_value
+        return Output(
+            f'Key {change.key_id} of {change.workspace} is withdrawn.',
+            _members(change),
+        )
+
+
+class KeyListCommand(BaseCommand):
+    """List the keys, without their text."""
+
+    name = 'key list'
+    description = 'List the keys of an environment.'
+    flags: ClassVar = (ENVIRONMENT, *PLATFORM)
+    options: ClassVar = options_of(*flags)
+
+    async def work(self, settings: Settings) -> Output | Failure:
+        """Report the last change of each key."""
+        async with RemoteBackend(settings.platform()) as backend:
+            keys = Keys(
+                backend.table, settings.text(ENVIRONMENT), system_clock()
+            )
+            listed = await keys.listed()
+        if isinstance(listed, Err):
+            return failure_of(listed.err_value)
+        lines = map(_line, listed.ok_value)
+        return Output(
+            '\n'.join(lines) or 'No key was issued yet.',
+            [_members(change) for change in listed.ok_value],
+        )
+
+
+def _workspaces(document: Document | None) -> tuple[str, ...]:
+    return tuple(sorted(document.workspaces)) if document else ()
+
+
+def _members(change: KeyChangeBody) -> dict[str, object]:
+    members = asdict(change)
+    members.pop('key_hash')
+    return {'key_id': change.key_id, **members}
+
+
+def _line(change: KeyChangeBody) -> str:
+    state = 'withdrawn' if change.withdrawn else 'valid'
+    return (
+        f'{change.key_id}  {state:<9}  {change.changed_at}'
+        f'  {change.workspace}  {change.label}'.rstrip()
+    )
--- a/packages/operators/src/dragonflyknot/operators/keys.py
+++ b/packages/operators/src/dragonflyknot/operators/keys.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
+from result import Err, Ok, Result
+
 from dragonflyknot.operators.clock import Clock
 from dragonflyknot.platform.errors import (
     ConditionFailed,
@@ -28,7 +30,6 @@
     key_log_partition,
 )
 from dragonflyknot.platform.writes import CompareAndSet, PutIfAbsent, Row, Write
-from result import Err, Ok, Result
 
 KEY_PREFIX: Final = 'dfk_'
 KEY_RANDOM_BYTES: Final = 32
@@ -45,14 +46,15 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyNotFound:
-    """Say that not exactly one key has an identifier."""
+    """Say that not exactly one key has an identifier.
 
-    key_id: str
+    The identifier is left out, since it may be a key by mistake.
+    """
 
     def __str__(self) -> str:
         return (
-            f'Not exactly one key begins with {self.key_id!r}; run'
-            ' "dragonflyknot key list" and give the whole identifier.'
+            'Not exactly one key has this identifier; run "dragonflyknot key'
+            ' list" and give one from there.'
         )
 
 
@@ -97,7 +99,9 @@
     async def withdraw(
         self, key_id: str
     ) -> Result[KeyChangeBody, KeyChangeError]:
-        """Withdraw the key with an identifier; twice is no error."""
+        """Withdraw a key by its identifier or text; twice is no error."""
+        if key_id.startswith(KEY_PREFIX):
+            key_id = hash_of_key(key_id)
         listed = await self.listed()
         if isinstance(listed, Err):
             return listed
@@ -107,7 +111,7 @@
             if key_id and change.key_hash.startswith(key_id)
         ]
         if len(found) != 1:
-            return Err(KeyNotFound(key_id))
+            return Err(KeyNotFound())
         if found[0].withdrawn:
             return Ok(found[0])
         return await self._append(
--- a/packages/operators/src/dragonflyknot/operators/revisions.py
+++ b/packages/operators/src/dragonflyknot/operators/revisions.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from result import Err, Ok, Result
+
 from dragonflyknot.decisions.document import Revision
 from dragonflyknot.operators.clock import Clock
 from dragonflyknot.operators.differences import Difference, differences
@@ -30,7 +32,6 @@
     history_partition,
 )
 from dragonflyknot.platform.writes import CompareAndSet, PutIfAbsent, Row, Write
-from result import Err, Ok, Result
 
 TRIAL: Final = 'trial'
 PRODUCTION: Final = 'production'
@@ -145,7 +146,15 @@
         body = await self.current(environment)
         if isinstance(body, Err):
             return body
-        return await self._document_of(body.ok_value)
+        return await self.document_of(body.ok_value)
+
+    async def document_of(
+        self, body: AcceptedBody | None
+    ) -> Result[Document | None, LoadError]:
+        """Return the document of an accepted revision, or none."""
+        if body is None:
+            return Ok(None)
+        return await load_document(self._objects, body.digest)
 
     async def accept(self, change: Change) -> Result[Accepted, RevisionError]:
         """Move an environment's row to a document, or say why not."""
@@ -194,7 +203,7 @@
         self, sections: Sections, current: AcceptedBody | None
     ) -> Result[None, RevisionError]:
         """Store the sections that the revision in force does not have."""
-        before = await self._document_of(current)
+        before = await self.document_of(current)
         known = before.ok()
         digests = split(known).content_by_digest if known else {}
         return await save(self._objects, sections, frozenset(digests))
@@ -225,7 +234,7 @@
     ) -> Result[Accepted, RevisionError]:
         """Tell what has changed since the base, as far as it can be read."""
         base = await self._base_document(change)
-        now = await self._document_of(current)
+        now = await self.document_of(current)
         changes = differences(base, now.ok())
         return Err(Overtaken(change.base, current, changes))
 
@@ -233,16 +242,9 @@
         key = history_key(change.environment, change.base)
         row = await self._table.get(key)
         body = row.and_then(_body_or_none)
-        document = await self._document_of(body.ok())
+        document = await self.document_of(body.ok())
         return document.ok()
 
-    async def _document_of(
-        self, body: AcceptedBody | None
-    ) -> Result[Document | None, LoadError]:
-        if body is None:
-            return Ok(None)
-        return await load_document(self._objects, body.digest)
-
     def _next_body(self, move: 'Move') -> AcceptedBody:
         change = move.change
         return AcceptedBody(
--- a/packages/operators/src/dragonflyknot/operators/sections.py
+++ b/packages/operators/src/dragonflyknot/operators/sections.py
@@ -11,6 +11,9 @@
 from hashlib import sha256
 from typing import Final, Literal, TypeVar
 
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
 from dragonflyknot.operators.document import (
     Document,
     KeysModel,
@@ -22,8 +25,6 @@
     validate,
 )
 from dragonflyknot.operators.faults import DocumentFaults
-from pydantic import ValidationError
-from result import Err, Ok, Result
 
 FORMAT: Final = 1
 
--- a/packages/operators/src/dragonflyknot/operators/store.py
+++ b/packages/operators/src/dragonflyknot/operators/store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from result import Err, Ok, Result
+
 from dragonflyknot.operators.document import Document
 from dragonflyknot.operators.sections import (
     BadSection,
@@ -12,7 +14,6 @@
 )
 from dragonflyknot.platform.errors import PlatformError, ReadError
 from dragonflyknot.platform.interfaces import Objects
-from result import Err, Ok, Result
 
 LoadError = ReadError | BadSection
 
--- a/packages/platform/src/dragonflyknot/platform/paging.py
+++ b/packages/platform/src/dragonflyknot/platform/paging.py
@@ -1,9 +1,10 @@
 """Read a partition of the table to its end."""
 
+from result import Err, Ok, Result
+
 from dragonflyknot.platform.errors import ReadError
 from dragonflyknot.platform.interfaces import Table
 from dragonflyknot.platform.writes import Row
-from result import Err, Ok, Result
 
 
 async def read_all(
--- a/packages/platform/src/dragonflyknot/platform/rows.py
+++ b/packages/platform/src/dragonflyknot/platform/rows.py
@@ -20,11 +20,12 @@
 from hashlib import sha256
 from typing import Any, Final, TypeVar
 
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
 from dragonflyknot.decisions.document import Revision
 from dragonflyknot.platform.errors import Rejected
 from dragonflyknot.platform.writes import Row, RowKey
-from pydantic import TypeAdapter, ValidationError
-from result import Err, Ok, Result
 
 SEQUENCE_DIGITS: Final = 20
 KEY_ID_DIGITS: Final = 12
--- a/tests/unit/test_keys.py
+++ b/tests/unit/test_keys.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import testtools
+
 from asyncrun import run_async
 from dragonflyknot.operators.clock import system_clock
 from dragonflyknot.operators.keys import Keys
--- a/tests/unit/test_revisions.py
+++ b/tests/unit/test_revisions.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 
 import testtools
+from result import Result
+
 from asyncrun import run_async
 from dragonflyknot.operators.clock import Clock
 from dragonflyknot.operators.document import parse
@@ -26,7 +28,6 @@
 from dragonflyknot.platform.settling import SettledTable
 from dragonflyknot.platform.switches import Switches
 from dragonflyknot.platform.writes import PutIfAbsent
-from result import Result
 
 TEXT = (Path(__file__).parents[2] / 'examples/jadeleaf.toml').read_text()
 
--- a/tests/unit/test_sections.py
+++ b/tests/unit/test_sections.py
@@ -4,13 +4,14 @@
 from pathlib import Path
 
 import testtools
+from result import Ok
+
 from asyncrun import run_async
 from dragonflyknot.operators.differences import differences
 from dragonflyknot.operators.document import Document, parse
 from dragonflyknot.operators.sections import assemble, split
 from dragonflyknot.operators.store import load_document, save
 from dragonflyknot.platform.embedded import EmbeddedObjects
-from result import Ok
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
 JADELEAF = (EXAMPLES / 'jadeleaf.toml').read_text()
