--- a/measure/demonstration/main.py
+++ b/measure/demonstration/main.py
@@ -125,11 +125,10 @@
 ) -> list[int]:
     load = asyncio.create_task(_serve(fleet, keys, figures, STOP_ROUNDS))
     await asyncio.sleep(0.1)
-    exit_codes = await asyncio.gather(
-        *(fleet.stop_daemon(spec.host) for spec in HOSTS)
-    )
+    # A service is stopped before those that it calls, as an operator would.
+    exit_codes = [await fleet.stop_daemon(spec.host) for spec in HOSTS]
     await load
-    return list(exit_codes)
+    return exit_codes
 
 
 def _summary(
--- a/measure/experiments/policies.py
+++ b/measure/experiments/policies.py
@@ -42,7 +42,9 @@
 class RouterPolicy(Protocol):
     """Choose targets."""
 
-    link_bytes: int
+    @property
+    def link_bytes(self) -> int:
+        """Return the body bytes exchanged with other regions."""
 
     def handle(self, event: routing.Event, now: float) -> None:
         """Take an event."""
--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -47,6 +47,7 @@
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
     may_have_run: bool = False
+    answer_bytes: int = 0
 
 
 class Attempts:
@@ -99,7 +100,11 @@
             call=replace(run.call, retries=handed),
         )
         sent = routing.AttemptSent(
-            target.host, attempt.attempt_id, run.outgoing.body.length or 0
+            target.host,
+            attempt.attempt_id,
+            run.outgoing.body.length or 0,
+            run.call.workspace,
+            run.call.priority,
         )
         self._ports.router.handle(sent, time.monotonic())
         kind, report = routing.Ending.CANCELLED, None
@@ -112,7 +117,11 @@
             return self._broken(run, broken)
         finally:
             ended = routing.AttemptEnded(
-                target.host, attempt.attempt_id, kind, report
+                target.host,
+                attempt.attempt_id,
+                kind,
+                report,
+                run.answer_bytes,
             )
             self._ports.router.handle(ended, time.monotonic())
 
@@ -184,6 +193,7 @@
         )
         run.may_have_run = True
         response = await relay(received.answer, run.request, head)
+        run.answer_bytes = received.answer.content.total_bytes
         self._ports.budget.succeeded(time.monotonic())
         return response
 
--- a/packages/callers/src/dragonflyknot/callers/edge.py
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -6,6 +6,7 @@
 run the same way, with a claim where the route runs at most once.
 """
 
+import asyncio
 import time
 import uuid
 from dataclasses import dataclass
@@ -49,6 +50,14 @@
     spent: Spent | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """Hold a request that did not pass its checks."""
+
+    refused: Refused
+    workspace: str = ''
+
+
 class Edge:
     """Serve requests until the daemon drains."""
 
@@ -96,29 +105,34 @@
 
     async def _admit(
         self, request: web.BaseRequest, request_id: str
-    ) -> Admitted | Refused:
+    ) -> Admitted | Denied:
         now = time.monotonic()
         if self.is_draining:
-            return Refused(Refusal.DRAINING, RETRY_AFTER_S)
+            return Denied(Refused(Refusal.DRAINING, RETRY_AFTER_S))
         policy = self._ports.policies.current()
         if policy is None:
-            return Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+            return Denied(Refused(Refusal.NOT_READY, RETRY_AFTER_S))
         route = policy.routes.find(request.method, request.path)
         if route is None:
-            return Refused(Refusal.NO_ROUTE)
+            return Denied(Refused(Refusal.NO_ROUTE))
         workspace = self._workspace(request, route, now)
         if isinstance(workspace, Refusal):
-            return Refused(workspace, _delay(workspace))
+            return Denied(Refused(workspace, _delay(workspace)))
         deadline = credentials.deadline_of(request, route.timeout_ms, now)
         if isinstance(deadline, Refusal):
-            return Refused(deadline)
-        spent = await self._ports.rates.spend(workspace, request_id, deadline)
+            return Denied(Refused(deadline), workspace)
+        call = _first_call(route, workspace, request_id, deadline)
+        return await self._spend(route, call)
+
+    async def _spend(self, route: Route, call: Call) -> Admitted | Denied:
+        spent = await self._ports.rates.spend(
+            call.workspace, call.request_id, call.deadline
+        )
         match spent:
             case ports.RateRefused(retry_after_s):
-                self._ports.tally.refused(workspace, Refusal.RATE)
-                return Refused(Refusal.RATE, retry_after_s)
+                refused = Refused(Refusal.RATE, retry_after_s)
+                return Denied(refused, call.workspace)
             case Spent():
-                call = _first_call(route, workspace, request_id, deadline)
                 pool = RetryPool(route.retries)
                 return Admitted(call, route, pool, spent)
 
@@ -131,18 +145,20 @@
 
     def _inherit(
         self, request: web.BaseRequest, parent: RunningCall, request_id: str
-    ) -> Admitted | Refused:
+    ) -> Admitted | Denied:
+        workspace = parent.call.workspace
         policy = self._ports.policies.current()
         if policy is None:
-            return Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+            refused = Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+            return Denied(refused, workspace)
         route = policy.routes.find(request.method, request.path)
         if route is None or parent.call.depth + 1 >= MAX_DEPTH:
-            return Refused(Refusal.NO_ROUTE)
+            return Denied(Refused(Refusal.NO_ROUTE), workspace)
         deadline = credentials.deadline_of(
             request, route.timeout_ms, time.monotonic()
         )
         if isinstance(deadline, Refusal):
-            return Refused(deadline)
+            return Denied(Refused(deadline), workspace)
         call = Call(
             request_id=request_id,
             chain_id=parent.call.chain_id,
@@ -160,30 +176,27 @@
         self,
         request: web.BaseRequest,
         request_id: str,
-        admitted: Admitted | Refused,
+        admitted: Admitted | Denied,
     ) -> web.StreamResponse:
         match admitted:
-            case Refused():
-                return self._refusal(admitted, '', request_id, request)
+            case Denied(refused, workspace):
+                return self._refusal(refused, workspace, request_id, request)
             case Admitted():
                 return await self._run_counted(request, admitted)
 
     async def _run_counted(
         self, request: web.BaseRequest, admitted: Admitted
     ) -> web.StreamResponse:
-        workspace = admitted.call.workspace
+        call = admitted.call
         if admitted.spent is not None:
-            self._ports.tally.admitted_by_workspace[workspace] += 1
+            self._ports.tally.admitted_by_workspace[call.workspace] += 1
         ending = await self._run(request, admitted)
         if isinstance(ending, web.StreamResponse):
-            self._ports.tally.answered_by_workspace[workspace] += 1
+            self._ports.tally.answered_by_workspace[call.workspace] += 1
             return ending
         if admitted.spent is not None:
             self._give_back(admitted.spent, ending)
-        self._ports.tally.refused(workspace, ending.refusal)
-        return self._refusal(
-            ending, workspace, admitted.call.request_id, request
-        )
+        return self._refusal(ending, call.workspace, call.request_id, request)
 
     def _give_back(self, spent: Spent, refused: Refused) -> None:
         if refused.known_outcome is Outcome.NOT_RUN:
@@ -213,17 +226,19 @@
     async def _send(
         self, request: web.BaseRequest, admitted: Admitted
     ) -> Ending:
-        run = CallRun(
-            call=admitted.call,
-            request=request,
-            outgoing=sending.Outgoing(
-                method=request.method,
-                path=request.raw_path,
-                head=request_head(request.headers),
-                body=await read_body(request),
-            ),
-            pool=admitted.pool,
+        left_s = admitted.call.deadline - time.monotonic()
+        try:
+            async with asyncio.timeout(max(left_s, 0)):
+                body = await read_body(request)
+        except TimeoutError:
+            return Refused(Refusal.NO_TIME, RETRY_AFTER_S)
+        outgoing = sending.Outgoing(
+            method=request.method,
+            path=request.raw_path,
+            head=request_head(request.headers),
+            body=body,
         )
+        run = CallRun(admitted.call, request, outgoing, admitted.pool)
         try:
             return await self._attempts.run(run)
         except BrokenAnswer:
@@ -244,7 +259,8 @@
                 spread_retry_after_s(refused.retry_after_s, self._ports.rng),
                 refused.outcome,
             )
-        _log.info(
+        self._ports.tally.refused(workspace, refused.refusal)
+        _log.debug(
             'refused',
             kind=refused.refusal.value,
             outcome=refused.known_outcome.value,
--- a/packages/decisions/src/dragonflyknot/decisions/routing.py
+++ b/packages/decisions/src/dragonflyknot/decisions/routing.py
@@ -7,6 +7,7 @@
 What a target is known to be stands in `targets.py`.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -115,7 +116,7 @@
     def __init__(self, host: str, data_center: str, region: str) -> None:
         """Start without targets at a known place."""
         self.host = host
-        self.link_bytes = 0
+        self.link_bytes_by_region: Counter[str] = Counter()
         self._data_center = data_center
         self._region = region
         self._targets_by_host: dict[str, TargetState] = {}
@@ -160,6 +161,11 @@
             target.probed_at = now
         return Target(target.host, target.incarnation)
 
+    @property
+    def link_bytes(self) -> int:
+        """Return the body bytes exchanged with other regions."""
+        return self.link_bytes_by_region.total()
+
     def in_flight(self, host: str) -> int:
         """Return how many attempts of this daemon are at a host."""
         target = self._targets_by_host.get(host)
@@ -233,7 +239,7 @@
 
     def _count_link(self, target: TargetState, count: int) -> None:
         if target.distance is Distance.FAR:
-            self.link_bytes += count
+            self.link_bytes_by_region[target.region] += count
 
     def _distance(self, data_center: str, region: str) -> Distance:
         if data_center == self._data_center:
