Let more important attempts wait longer in a gate's queue

Cause: with all slots held by a slowed deep service, attempts of the highest priority ran into the queue wait although they alone fitted. Conclusion: the queue wait grows with the priority.

--- a/measure/experiments/scenarios.py
+++ b/measure/experiments/scenarios.py
@@ -212,7 +212,7 @@
 
         def slow(factor: float) -> None:
             for gate in deep:
-                gate.upstream.slowness = factor
+                gate.upstream.slow(factor)
 
         fleet.loop.after(window.start, lambda: slow(SLOWNESS))
         fleet.loop.after(window.end, lambda: slow(1))
--- a/measure/experiments/virtual.py
+++ b/measure/experiments/virtual.py
@@ -50,7 +50,7 @@
     fails: bool = False
     busy: int = 0
     served: int = WARM_AFTER_REQUESTS
-    cancelled: set[str] = field(default_factory=set)
+    _ends_by_name: dict[str, '_End'] = field(default_factory=dict)
 
     def start(self, name: str, work_s: float, done: Action) -> None:
         """Work on a request, then call back."""
@@ -60,20 +60,39 @@
         slowdown = crowd * (1 + THRASH * (crowd - 1)) * self.slowness
         seconds = 0.002 if self.fails else work_s * slowdown
 
-        def end() -> None:
-            if name in self.cancelled:
-                self.cancelled.discard(name)
-                return
-            self.busy -= 1
-            self.served += 1
-            done()
-
-        self.loop.after(seconds, end)
+        self._schedule(name, seconds, done)
 
     def cancel(self, name: str) -> None:
         """Stop the work on a request."""
         self.busy -= 1
-        self.cancelled.add(name)
+        self._ends_by_name.pop(name)
+
+    def slow(self, slowness: float) -> None:
+        """Change the speed, also of the requests that are being served."""
+        factor = slowness / self.slowness
+        self.slowness = slowness
+        for name, end in list(self._ends_by_name.items()):
+            left_s = max(0, end.due - self.loop.now)
+            self._schedule(name, left_s * factor, end.done)
+
+    def _schedule(self, name: str, seconds: float, done: Action) -> None:
+        end = _End(self.loop.now + seconds, done)
+        self._ends_by_name[name] = end
+
+        def finish() -> None:
+            if self._ends_by_name.get(name) is end:
+                self._ends_by_name.pop(name)
+                self.busy -= 1
+                self.served += 1
+                done()
+
+        self.loop.after(seconds, finish)
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _End:
+    due: float
+    done: Action
 
 
 def spread_work_s(mean_s: float, rng: random.Random) -> float:
--- a/packages/decisions/src/dragonflyknot/decisions/admission.py
+++ b/packages/decisions/src/dragonflyknot/decisions/admission.py
@@ -215,7 +215,9 @@
         return self._shed() + self._fill(now)
 
     def _enqueue(self, event: Arrived, latest_start: float, now: float) -> None:
-        expires_at = min(latest_start, now + self._service.queue_wait_ms / 1000)
+        steps = event.priority - LOWEST_PRIORITY + 1
+        wait_s = steps * self._service.queue_wait_ms / 1000
+        expires_at = min(latest_start, now + wait_s)
         self._queue.push(
             Waiter(
                 event.attempt_id,
