--- a/packages/operators/src/dragonflyknot/operators/busiest.py
+++ b/packages/operators/src/dragonflyknot/operators/busiest.py
@@ -15,22 +15,25 @@
 
 
 def busiest_workspaces(snapshot: Snapshot) -> tuple[WorkspaceLine, ...]:
-    """Return the busiest workspaces, the others as one line."""
+    """Return the most refused workspaces by name, the others as one line."""
     lines = snapshot.workspaces
     if len(lines) <= MAX_WORKSPACE_LINES:
         return lines
-    shown = lines[: MAX_WORKSPACE_LINES - 1]
-    return (*shown, _other_workspaces(lines[len(shown) :]))
+    ordered = sorted(lines, key=_most_refused_first)
+    shown = ordered[: MAX_WORKSPACE_LINES - 1]
+    others = _other_workspaces(ordered[len(shown) :])
+    return (*sorted(shown, key=_name_of), others)
 
 
 def busiest_services(snapshot: Snapshot) -> tuple[ServiceLine, ...]:
-    """Return the services with the least room, the others as one line."""
+    """Return the fullest services by name, the others as one line."""
     lines = snapshot.services
     if len(lines) <= MAX_SERVICE_LINES:
         return lines
     ordered = sorted(lines, key=_fullest_first)
     shown = ordered[: MAX_SERVICE_LINES - 1]
-    return (*shown, _other_services(ordered[len(shown) :]))
+    others = _other_services(ordered[len(shown) :])
+    return (*sorted(shown, key=_name_of), others)
 
 
 def _other_workspaces(lines: Sequence[WorkspaceLine]) -> WorkspaceLine:
@@ -59,3 +62,11 @@
 def _fullest_first(line: ServiceLine) -> tuple[float, str]:
     load = (line.running + line.queued) / max(line.limit, 1)
     return -load, line.name
+
+
+def _most_refused_first(line: WorkspaceLine) -> tuple[float, float, str]:
+    return -line.refused, -line.admitted, line.name
+
+
+def _name_of(line: WorkspaceLine | ServiceLine) -> str:
+    return line.name
--- a/packages/operators/src/dragonflyknot/operators/snapshot.py
+++ b/packages/operators/src/dragonflyknot/operators/snapshot.py
@@ -174,15 +174,10 @@
         for name, workspace in pair.dump.workspaces.items():
             total = sums.setdefault(name, _WorkspaceSum())
             total.add(pair, workspace, old.get(name, nothing))
-    lines = (
+    return tuple(
         WorkspaceLine(found, added.admitted, added.refused_by_kind)
-        for found, added in sums.items()
+        for found, added in sorted(sums.items())
     )
-    return tuple(sorted(lines, key=_busiest_first))
-
-
-def _busiest_first(line: WorkspaceLine) -> tuple[float, str]:
-    return -(line.admitted + line.refused), line.name
 
 
 def _service_lines(dumps: Iterable[Dump]) -> tuple[ServiceLine, ...]:
--- a/packages/platform/src/dragonflyknot/platform/dynamodb.py
+++ b/packages/platform/src/dragonflyknot/platform/dynamodb.py
@@ -94,7 +94,7 @@
         )
         match await bounded(TABLE, call, self._settings.deadline_s):
             case Ok(response):
-                self.usage.reads += max(1, len(response['Items']))
+                self.usage.reads += max(1, len(_items(response)))
                 return _decoded_page(response)
             case Err(error):
                 self.usage.reads += 1
@@ -180,12 +180,18 @@
 
 
 def _decoded_page(response: Response) -> Result[Page, ReadError]:
-    rows = tuple(filter(None, map(_row_or_none, response['Items'])))
-    if len(rows) < len(response['Items']):
+    items = _items(response)
+    rows = tuple(filter(None, map(_row_or_none, items)))
+    if len(rows) < len(items):
         return Err(Rejected(TABLE, 'a row of another layout'))
     return Ok(Page(rows, more='LastEvaluatedKey' in response))
 
 
+def _items(response: Response) -> Sequence[Attributes]:
+    items: Sequence[Attributes] = response.get('Items') or ()
+    return items
+
+
 def _row_or_none(item: Attributes | None) -> Row | None:
     if item is None:
         return None
--- a/packages/platform/src/dragonflyknot/platform/paging.py
+++ b/packages/platform/src/dragonflyknot/platform/paging.py
@@ -18,6 +18,6 @@
         if isinstance(page, Err):
             return page
         rows.extend(page.ok_value.rows)
-        more = page.ok_value.more
+        more = page.ok_value.more and bool(page.ok_value.rows)
         since = rows[-1].key.sort if rows else since
     return Ok(tuple(rows))
