--- a/measure/experiments/scenarios.py
+++ b/measure/experiments/scenarios.py
@@ -10,7 +10,6 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.document import Service
-
 from experiments.fleet import Fleet, GateHost, Place
 from experiments.load import Stream
 from experiments.ratios import Window
@@ -212,7 +211,7 @@
 
         def slow(factor: float) -> None:
             for gate in deep:
-                gate.upstream.slowness = factor
+                gate.upstream.slow(factor)
 
         fleet.loop.after(window.start, lambda: slow(SLOWNESS))
         fleet.loop.after(window.end, lambda: slow(1))
