--- a/packages/decisions/src/dragonflyknot/decisions/membership.py
+++ b/packages/decisions/src/dragonflyknot/decisions/membership.py
@@ -68,6 +68,11 @@
         """Return the daemon itself as it tells others."""
         return self._own
 
+    @property
+    def keeps_all(self) -> bool:
+        """Return whether the fleet is small enough to be kept whole."""
+        return self._whole
+
     @property
     def revision(self) -> Revision:
         """Return the highest revision that was heard of."""
@@ -189,11 +194,9 @@
             message.view.service, message.versions
         )
         wanted = [host for host in wanted if host != self._own.host]
-        lacking = [
-            member for member in lacking if member.host != message.sender.host
-        ]
+        peer = message.sender
+        lacking = [one for one in lacking if one.host != peer.host]
         if lacking or wanted:
-            peer = message.sender
             sent = self._compose(peer, lacking[:MAX_REPAIRS], rng)
             self._commands.append(
                 msg.SendGossip(
@@ -242,11 +245,9 @@
         gone = self.view.gone_hosts()
         if gone:
             self._send(self.view.members_by_host[pick(gone, rng)], rng)
-        others = [
-            address
-            for address in self._addresses
-            if address != self._own.peers_grpc
-        ]
+        others = list(self._addresses)
+        if self._own.peers_grpc in others:
+            others.remove(self._own.peers_grpc)
         if others:
             message = replace(
                 msg.Gossip(self._own),
--- a/packages/decisions/src/dragonflyknot/decisions/outage.py
+++ b/packages/decisions/src/dragonflyknot/decisions/outage.py
@@ -1,8 +1,8 @@
-"""Whether the store is out for everybody, as its own data centre sees it.
+"""Whether the store is out for everybody, as its own region sees it.
 
 While the store is out no withdrawal can be accepted, so the copies of the
 keys stay true. A daemon may take that from a majority of the daemons in the
-store's data centre, each of which failed to read the store itself, holds no
+store's region, each of which failed to read the store itself, holds no
 more changes than the asker and knows of no withdrawal that is under way. A
 withdrawal is announced to a majority of the same daemons before it is
 written, so that the two majorities share one that knows of it.
@@ -23,7 +23,7 @@
     """Tell how a witness last found the store.
 
     `is_out` says that its last read failed, and that it was made within
-    a second. `sequence` is that of its copy of the keys, and `announced` are
+    some seconds. `sequence` is that of its copy of the keys, and `announced` are
     the keys whose withdrawal it was told of before the table had it.
     """
 
@@ -39,7 +39,7 @@
 
 
 class OutageWitnesses:
-    """Collect what the daemons in the store's data centre say."""
+    """Collect what the daemons in the store's region say."""
 
     def __init__(self) -> None:
         """Start without witnesses, so that nothing can be agreed."""
@@ -57,7 +57,7 @@
         return len(self._hosts) // 2 + 1
 
     def choose(self, hosts: Iterable[str]) -> None:
-        """Name all daemons of the store's data centre, silent ones too."""
+        """Name all daemons of the store's region, silent ones too."""
         self._hosts = frozenset(hosts)
         self._heard_by_host = {
             host: heard
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -1,7 +1,6 @@
 """Check the control channel between daemons over loopback."""
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
@@ -23,6 +22,7 @@
 )
 from dragonflyknot.peers.controlwire import KeysTold
 from dragonflyknot.peers.wire import control_pb2 as wire
+from freeports import free_port
 from harness.gossipfleet import build_member
 
 SECRET = 'a secret of the fleet'
@@ -86,19 +86,13 @@
         self.withdrawn.append(key_hash)
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
-
-
 class ControlTest(testtools.TestCase):
     """Calls reach their handlers, and wrong ones a clear status."""
 
     def setUp(self) -> None:
         super().setUp()
         self.handlers = _Handlers()
-        self.port = _free_port()
+        self.port = free_port()
         self.address = f'127.0.0.1:{self.port}'
 
     def test_every_call_round_trips(self) -> None:
@@ -159,7 +153,7 @@
             self.handlers.delay_s = 0
             again = await client.gossip(self.address, GOSSIP, 1)
             self.assertTrue(again.is_ok())
-            closed = await client.gossip(f'127.0.0.1:{_free_port()}', GOSSIP, 1)
+            closed = await client.gossip(f'127.0.0.1:{free_port()}', GOSSIP, 1)
             self.assertTrue(closed.is_err())
 
         self._run(body)
--- a/tests/unit/test_outage.py
+++ b/tests/unit/test_outage.py
@@ -19,7 +19,7 @@
 
 
 class OutageWitnessesTest(testtools.TestCase):
-    """A majority of the store's data centre decides."""
+    """A majority of the store's region decides."""
 
     def test_majority_that_finds_the_store_out_agrees(self) -> None:
         witnesses = _witnesses(4)
