Join the fleet: gossip, configuration, keys and claims in every daemon

Cause: the daemons still ran from a static file. Before: bookings were refused for want of a table, members were listed by hand.

--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,7 @@
 
 # Regenerates the committed gRPC code from the .proto file.
 wire: setup
-	cd packages/peers/src && $(abspath $(BIN))/python -m grpc_tools.protoc \
+	cd packages/peers/src && PATH="$(abspath $(BIN)):$$PATH" python -m grpc_tools.protoc \
 		-I. --python_out=. --pyi_out=. --grpclib_python_out=. \
 		dragonflyknot/peers/wire/control.proto
 
--- a/measure/harness/fleet.py
+++ b/measure/harness/fleet.py
@@ -17,6 +17,7 @@
 from dragonflyknot.operators import document as documents
 from dragonflyknot.operators.clock import system_clock
 from dragonflyknot.operators.document import Document
+from dragonflyknot.operators.dump import Dump
 from dragonflyknot.operators.keys import Keys
 from dragonflyknot.operators.revisions import Change, Revisions
 from dragonflyknot.platform.backends import Backend, RemoteBackend
@@ -124,6 +125,7 @@
             if spec.service:
                 await self.start_upstream(spec)
         await self.ready()
+        await self.introduced()
 
     async def start_daemon(self, spec: HostSpec) -> None:
         """Start the daemon of a host, again if it has ended."""
@@ -158,6 +160,14 @@
             )
         )
 
+    async def introduced(self) -> None:
+        """Wait until every daemon knows every service of the fleet."""
+        services = {spec.service for spec in self.specs if spec.service}
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for spec in self.specs:
+                while await self._known_services(spec) != services:  # noqa: ASYNC110
+                    await asyncio.sleep(POLL_S)
+
     async def promote(self, document: str, base: int) -> int:
         """Put a document in force; return its revision number."""
         change = Change(
@@ -222,6 +232,11 @@
         """Return where a daemon serves callers, as IP:port."""
         return self.addresses_by_host[host].callers
 
+    async def _known_services(self, spec: HostSpec) -> set[str]:
+        dump = Dump.model_validate(await self.dump(spec.host))
+        known = {member.service for member in dump.members}
+        return {*known, *dump.services} - {''}
+
     def _keys(self) -> Keys:
         return Keys(self.backend.table, ENVIRONMENT, system_clock())
 
--- a/packages/daemon/src/dragonflyknot/daemon/fleet.py
+++ b/packages/daemon/src/dragonflyknot/daemon/fleet.py
@@ -87,8 +87,9 @@
             counter=0,
             data_center=settings.data_center,
             region=settings.region,
-            peers_http=settings.requests_listen,
-            peers_grpc=settings.control_listen,
+            peers_http=settings.peers_requests,
+            peers_grpc=settings.peers_control,
+            operators=settings.operators_listen,
             service='',
             state=parts.own_state().state,
         )
@@ -132,7 +133,7 @@
         self._registry = Registry(
             parts.backend.table,
             Registration(
-                settings.environment, settings.host, settings.control_listen
+                settings.environment, settings.host, settings.peers_control
             ),
         )
         self._served = ''
--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -5,22 +5,28 @@
 """
 
 import asyncio
+import math
 import random
 import time
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack
 
 import structlog
 
 from dragonflyknot.callers.edge import Edge
 from dragonflyknot.callers.ports import EdgePorts
-from dragonflyknot.daemon import lifecycle, listeners, standalone
+from dragonflyknot.daemon import lifecycle, listeners, metrics, standalone
+from dragonflyknot.daemon.fleet import Fleet, FleetParts
+from dragonflyknot.daemon.metrics import Gauge, Metrics
 from dragonflyknot.daemon.policies import PolicyHolder
 from dragonflyknot.daemon.settings import Settings
+from dragonflyknot.daemon.status import Status
+from dragonflyknot.daemon.tasks import Tasks
 from dragonflyknot.decisions import admission
 from dragonflyknot.decisions.chains import Chains
 from dragonflyknot.decisions.document import Configuration, Service
 from dragonflyknot.decisions.keyring import Keyring
 from dragonflyknot.decisions.ledger import Ledger
+from dragonflyknot.decisions.members import Member, OwnChanged
 from dragonflyknot.decisions.retry import RetryBudget
 from dragonflyknot.decisions.routing import Router
 from dragonflyknot.exchange.sessions import relay_session
@@ -29,6 +35,13 @@
 from dragonflyknot.peers.forward import Forwarder
 from dragonflyknot.peers.receiving import Receiver
 from dragonflyknot.peers.sessions import PeerSessions
+from dragonflyknot.platform.backends import (
+    Backend,
+    RemoteBackend,
+    embedded_backend,
+)
+from dragonflyknot.platform.interfaces import Usage
+from dragonflyknot.platform.settings import PlatformSettings
 from dragonflyknot.upstreams.announcements import Announcer
 from dragonflyknot.upstreams.gate import Gate, GatePorts
 from dragonflyknot.upstreams.listener import UpstreamListener
@@ -36,7 +49,8 @@
 
 EXIT_OK = 0
 EXIT_CUT_OFF = 1
-SILENCE_CHECK_S = 0.5
+HOUSEKEEPING_S = 0.5
+MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
 
 _log = structlog.get_logger(__name__)
@@ -48,7 +62,7 @@
     def __init__(self, settings: Settings) -> None:
         """Make the state machines; `__aenter__` opens the rest."""
         self.settings = settings
-        self.incarnation = standalone.incarnation(time.time_ns() // NS_PER_MS)
+        self.incarnation = time.time_ns() // NS_PER_MS
         self.tally = Tally()
         self.policies = PolicyHolder()
         self.keyring = Keyring()
@@ -64,8 +78,10 @@
 
     async def __aenter__(self) -> 'Daemon':
         """Open sessions, loops and listeners."""
+        self.policies.subscribe(self._configure)
         async with AsyncExitStack() as stack:
             await self._open(stack)
+            await self._listen(stack)
             self._stack = stack.pop_all()
         return self
 
@@ -73,24 +89,55 @@
         """Close everything in reverse order."""
         await self._stack.aclose()
 
+    @property
+    def usage(self) -> Usage:
+        """Return the reads and writes of the platform's services."""
+        table = self._backend.table.usage
+        objects = self._backend.objects.usage
+        return Usage(table.reads + objects.reads, table.writes + objects.writes)
+
     def in_flight(self) -> int:
         """Return the number of requests in flight."""
         return self.edge.in_flight + self.gate.in_flight
 
+    def members(self) -> tuple[Member, ...]:
+        """Return the daemons that this one knows."""
+        view = self.fleet.gossip.machine.view
+        return tuple(view.members_by_host.values())
+
+    def missing(self) -> tuple[str, ...]:
+        """Return why callers cannot be served yet, empty if they can."""
+        reasons = []
+        if self.edge.is_draining:
+            reasons.append('draining')
+        if self.policies.current() is None:
+            reasons.append('no configuration from the store or a peer')
+        if not self.keyring.is_fresh(time.monotonic()):
+            reasons.append('the copy of the keys is too old')
+        return tuple(reasons)
+
     def drain(self) -> None:
         """Refuse new work as not run; work in flight goes on."""
         self.edge.is_draining = True
         self.gate.is_draining = True
+        self.fleet.gossip.refresh()
         _log.info('draining', in_flight=self.in_flight())
 
+    def own_state(self) -> OwnChanged:
+        """Return what gossip tells of the upstream and the revision."""
+        announcement = self.announcer.current(time.monotonic())
+        policy = self.policies.current()
+        report = self.gate.report()
+        return OwnChanged(
+            service='' if announcement is None else announcement.service,
+            state=report.state,
+            report=report,
+            revision=policy.configuration.revision.number if policy else 0,
+        )
+
     async def _open(self, stack: AsyncExitStack) -> None:
-        self.policies.subscribe(self._configure)
-        sessions = await stack.enter_async_context(PeerSessions(relay_session))
+        self._backend = await _open_backend(stack, self.settings)
         upstream_session = await stack.enter_async_context(relay_session())
-        secret = self.settings.fleet_secret.get_secret_value()
-        forwarder = Forwarder(
-            sessions, self.directory, standalone.UnknownResolver(), secret
-        )
         self.gate = Gate(
             GatePorts(
                 turns=self.turns,
@@ -101,37 +148,80 @@
                 tally=self.tally,
             )
         )
-        self.edge = Edge(
-            EdgePorts(
-                policies=self.policies,
-                keyring=self.keyring,
-                rates=standalone.LocalRates(self.policies),
-                router=self.router,
-                budget=RetryBudget(),
-                sender=forwarder,
-                operations=standalone.NoOperations(),
-                chains=self.chains,
-                tally=self.tally,
-                rng=random.Random(),
-            )
+        self.fleet = Fleet(self._fleet_parts())
+        await stack.enter_async_context(self.fleet)
+        sessions = PeerSessions(relay_session)
+        await stack.enter_async_context(sessions)
+        self._sessions = sessions
+        self.edge = Edge(self._edge_ports(sessions))
+
+    def _fleet_parts(self) -> FleetParts:
+        return FleetParts(
+            settings=self.settings,
+            incarnation=self.incarnation,
+            keyring=self.keyring,
+            ledger=self.ledger,
+            router=self.router,
+            directory=self.directory,
+            policies=self.policies,
+            backend=self._backend,
+            own_state=self.own_state,
+        )
+
+    def _edge_ports(self, sessions: PeerSessions) -> EdgePorts:
+        return EdgePorts(
+            policies=self.policies,
+            keyring=self.keyring,
+            rates=standalone.LocalRates(self.policies),
+            router=self.router,
+            budget=RetryBudget(),
+            sender=Forwarder(
+                sessions,
+                self.directory,
+                self.fleet.calls,
+                self.settings.fleet_secret.get_secret_value(),
+            ),
+            operations=self.fleet.claims,
+            chains=self.chains,
+            tally=self.tally,
+            rng=random.Random(),
         )
-        standalone.load(self)
-        await self._listen(stack, secret)
 
-    async def _listen(self, stack: AsyncExitStack, secret: str) -> None:
-        receiver = Receiver(self.gate, secret)
-        upstream = UpstreamListener(self.announcer, self.turns, self.edge)
+    async def _listen(self, stack: AsyncExitStack) -> None:
+        settings = self.settings
+        secret = settings.fleet_secret.get_secret_value()
+        upstream = UpstreamListener(
+            self.announcer, self.turns, self.edge, self._upstream_changed
+        )
         handlers_by_address = {
-            self.settings.requests_listen: receiver.serve,
-            self.settings.upstream_listen: upstream.serve,
-            self.settings.callers_listen: self.edge.serve_caller,
+            settings.operators_listen: Status(self).serve,
+            settings.requests_listen: Receiver(self.gate, secret).serve,
+            settings.upstream_listen: upstream.serve,
+            settings.callers_listen: self.edge.serve_caller,
         }
         for address, handler in handlers_by_address.items():
             await stack.enter_async_context(
                 listeners.listening(address, handler)
             )
-        watch = asyncio.create_task(_watch_silence(upstream))
-        stack.push_async_callback(_cancel, watch)
+        await stack.enter_async_context(
+            Metrics(settings.statsd, self.tally, self._gauges)
+        )
+        tasks = await stack.enter_async_context(Tasks())
+        tasks.start(self._keep_house(upstream))
+
+    def _gauges(self) -> list[Gauge]:
+        policy = self.policies.current()
+        revision = policy.configuration.revision.number if policy else 0
+        gauges = [
+            Gauge(metrics.IN_FLIGHT, self.in_flight()),
+            Gauge(metrics.MEMBERS, len(self.members())),
+            Gauge(metrics.REVISION, revision),
+            Gauge(metrics.LINK_BYTES, self.router.link_bytes),
+        ]
+        age_s = self.keyring.age_s(time.monotonic())
+        if math.isfinite(age_s):
+            gauges.append(Gauge(metrics.KEY_AGE_MS, age_s * MS_PER_SECOND))
+        return gauges
 
     def _configure(self, configuration: Configuration) -> None:
         weights = {
@@ -140,6 +230,45 @@
         }
         self.turns.tell(admission.WeightsChanged(weights))
         self.keyring.bound_s = configuration.key_freshness_seconds
+        self._set_queue_limits(configuration)
+
+    def _upstream_changed(self) -> None:
+        policy = self.policies.current()
+        if policy is not None:
+            self._set_queue_limits(policy.configuration)
+        # A state that changed, draining above all, is told at once.
+        self.fleet.gossip.refresh()
+
+    def _set_queue_limits(self, configuration: Configuration) -> None:
+        announcement = self.announcer.current(time.monotonic())
+        if announcement is None:
+            return
+        service = configuration.services_by_name.get(announcement.service)
+        if service is not None:
+            self.turns.tell(admission.ServiceChanged(service))
+
+    async def _keep_house(self, upstream: UpstreamListener) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            upstream.check_silence()
+            await self._sessions.close_unused()
+
+
+async def _open_backend(stack: AsyncExitStack, settings: Settings) -> Backend:
+    if settings.platform == 'embedded':
+        return embedded_backend()
+    remote = RemoteBackend(
+        PlatformSettings(
+            table_endpoint=settings.table_endpoint,
+            objects_endpoint=settings.objects_endpoint,
+            region=settings.platform_region,
+            table=settings.table,
+            bucket=settings.bucket,
+            access_key=settings.access_key.get_secret_value(),
+            secret_key=settings.secret_key.get_secret_value(),
+        )
+    )
+    return await stack.enter_async_context(remote)
 
 
 async def run_daemon(settings: Settings) -> int:
@@ -154,15 +283,3 @@
             )
     _log.info('stopped', cut_off=not is_idle)
     return EXIT_OK if is_idle else EXIT_CUT_OFF
-
-
-async def _watch_silence(upstream: UpstreamListener) -> None:
-    while True:
-        await asyncio.sleep(SILENCE_CHECK_S)
-        upstream.check_silence()
-
-
-async def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    with suppress(asyncio.CancelledError):
-        await task
--- a/packages/daemon/src/dragonflyknot/daemon/settings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/settings.py
@@ -86,6 +86,16 @@
     log_level: Literal['debug', 'info', 'warning', 'error']
     policies: Literal['on', 'off']
 
+    @property
+    def peers_requests(self) -> str:
+        """Return where peers forward requests to, as IP:port."""
+        return self.requests_advertise or self.requests_listen
+
+    @property
+    def peers_control(self) -> str:
+        """Return where peers call the control channel, as IP:port."""
+        return self.control_advertise or self.control_listen
+
 
 @dataclass(frozen=True, slots=True)
 class SettingsFaults:
--- a/packages/daemon/src/dragonflyknot/daemon/status.py
+++ b/packages/daemon/src/dragonflyknot/daemon/status.py
@@ -77,7 +77,6 @@
         services=_services(daemon, now),
         link_bytes=dict(daemon.router.link_bytes_by_region),
         keys=_keys(daemon, now),
-        leases=daemon.leases(now),
         store=StoreDump(reads=daemon.usage.reads, writes=daemon.usage.writes),
         taken_at=time.time(),
     )
@@ -106,6 +105,8 @@
             region=member.region,
             state=member.state.value,
             suspected=bool(member.standing),
+            operators=member.operators,
+            service=member.service,
         )
         for member in daemon.members()
     )
--- a/packages/decisions/src/dragonflyknot/decisions/members.py
+++ b/packages/decisions/src/dragonflyknot/decisions/members.py
@@ -47,6 +47,7 @@
     revision: int = 0
     beat: int = 0
     standing: Standing = Standing.ALIVE
+    operators: str = ''
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/packages/operators/src/dragonflyknot/operators/dump.py
+++ b/packages/operators/src/dragonflyknot/operators/dump.py
@@ -35,6 +35,7 @@
 class MemberDump(DumpModel):
     """Describe another daemon as this one sees it.
 
+    `service` is what its upstream announces, empty without one.
     `operators` is the address (IP:port) of its operators' listener, or
     empty if that is not known.
     """
@@ -46,6 +47,7 @@
     state: str
     suspected: bool = False
     operators: str = ''
+    service: str = ''
 
 
 class WorkspaceDump(DumpModel):
--- a/packages/peers/src/dragonflyknot/peers/gossipwire.py
+++ b/packages/peers/src/dragonflyknot/peers/gossipwire.py
@@ -95,6 +95,7 @@
         data_center=member.data_center,
         region=member.region,
         peers_http=member.peers_http,
+        operators=member.operators,
         peers_grpc=member.peers_grpc,
         service=member.service,
         state=_WIRE_STATES[member.state],
@@ -117,6 +118,9 @@
         data_center=checked_name('member.data_center', member.data_center),
         region=checked_name('member.region', member.region),
         peers_http=checked_name('member.peers_http', member.peers_http),
+        operators=checked_name(
+            'member.operators', member.operators, empty=True
+        ),
         peers_grpc=checked_name('member.peers_grpc', member.peers_grpc),
         service=checked_name('member.service', member.service, empty=True),
         state=_decode_state(member.state),
--- a/packages/upstreams/src/dragonflyknot/upstreams/listener.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/listener.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from aiohttp import web
@@ -39,12 +40,17 @@
     """Handle the requests of the upstream."""
 
     def __init__(
-        self, announcer: Announcer, turns: Turns, deeper: DeeperCalls
+        self,
+        announcer: Announcer,
+        turns: Turns,
+        deeper: DeeperCalls,
+        changed: Callable[[], None],
     ) -> None:
-        """Keep the announcer, the gate's queue and the edge."""
+        """Keep the gate's parts and whom to tell of a changed state."""
         self._announcer = announcer
         self._turns = turns
         self._deeper = deeper
+        self._changed = changed
         self._announced: Announcement | None = None
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -63,6 +69,7 @@
         if self._announcer.current(time.monotonic()) is None:
             self._announced = None
             self._turns.tell(Announced(0, UpstreamState.GONE))
+            self._changed()
 
     async def _announce(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.method != 'PUT':
@@ -83,3 +90,4 @@
             return
         self._announced = announcement
         self._turns.tell(Announced(announcement.slots, announcement.state))
+        self._changed()
--- a/tests/unit/test_documentation.py
+++ b/tests/unit/test_documentation.py
@@ -29,9 +29,7 @@
     tally = Tally(retries=1, resolves=1, broken_answers=1, cancelled=1)
     tally.admitted_by_workspace['WORKSPACE'] = 1
     tally.answered_by_workspace['WORKSPACE'] = 1
-    tally.refused_by_workspace[
-        WorkspaceRefusal('WORKSPACE', Refusal.RATE)
-    ] = 1
+    tally.refused_by_workspace[WorkspaceRefusal('WORKSPACE', Refusal.RATE)] = 1
     tally.gate_refused_by_kind[Refusal.RATE] = 1
     return tally
 
