--- a/packages/decisions/src/dragonflyknot/decisions/admission.py
+++ b/packages/decisions/src/dragonflyknot/decisions/admission.py
@@ -208,11 +208,11 @@
         least_s = self._concurrency.least_s(event.priority, now)
         if now + least_s + self._wait_s(event.priority) > event.deadline:
             return (self._refuse(attempt_id, Refusal.NO_TIME),)
-        if self._has_slot() and not self._queue:
+        if self._has_slot():
             self._start(attempt_id, event.workspace, event.priority)
             return (Start(attempt_id),)
         self._enqueue(event, event.deadline - least_s, now)
-        return self._shed() + self._fill(now)
+        return self._shed()
 
     def _enqueue(self, event: Arrived, latest_start: float, now: float) -> None:
         steps = event.priority - LOWEST_PRIORITY + 1
--- a/packages/decisions/src/dragonflyknot/decisions/routing.py
+++ b/packages/decisions/src/dragonflyknot/decisions/routing.py
@@ -259,7 +259,8 @@
             ((Distance.DATA_CENTER,), self._prompt),
             ((Distance.REGION,), self._prompt),
             *_far_order(large, far, near, self),
-            (tuple(Distance), self._last_resort),
+            (tuple(Distance), self._suspect),
+            (tuple(Distance), self._only_ejected),
         )
         for distances, test in tiers:
             pool = self._pool(distances)
@@ -333,7 +334,19 @@
             self.claim.priority, self.now
         )
 
-    def _last_resort(self, target: TargetState) -> bool:
+    def _only_ejected(self, target: TargetState) -> bool:
+        """Accept an ejected target once all others have left."""
+        return (
+            target.host not in self.excluded
+            and target.accepts()
+            and all(
+                one.ejected_until > self.now
+                for one in self.group.targets()
+                if one.accepts()
+            )
+        )
+
+    def _suspect(self, target: TargetState) -> bool:
         """Accept a suspect target, but never one that is ejected."""
         return (
             target.host not in self.excluded
