--- /dev/null
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -0,0 +1,316 @@
+"""Serve the requests of callers and the deeper calls of upstreams.
+
+A caller's request passes its key, its route and its workspace's rate. A
+deeper call belongs to a chain that already passed them: it inherits the
+workspace, the priority, the deadline and a part of the retry pool. Both then
+run the same way, with a claim where the route runs at most once.
+"""
+
+import asyncio
+import time
+import uuid
+from dataclasses import dataclass
+from types import MappingProxyType
+
+import structlog
+from aiohttp import web
+
+from dragonflyknot.callers import credentials, ports
+from dragonflyknot.callers.attempts import Attempts, CallRun, Ending
+from dragonflyknot.decisions import headers as names
+from dragonflyknot.decisions.calls import Call, Outcome
+from dragonflyknot.decisions.chains import RunningCall
+from dragonflyknot.decisions.document import OPEN_WORKSPACE, Route
+from dragonflyknot.decisions.grants import Spent
+from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.decisions.retry import RetryPool, spread_retry_after_s
+from dragonflyknot.exchange import sending
+from dragonflyknot.exchange.bodies import read_body
+from dragonflyknot.exchange.heads import request_head
+from dragonflyknot.exchange.hops import MAX_DEPTH
+from dragonflyknot.exchange.refusing import Refused, refusal_response
+from dragonflyknot.exchange.relaying import BrokenAnswer, abort
+
+TICKETS_PATH = '/.dragonflyknot/tickets'
+RETRY_AFTER_S = 1.0
+RETURN_MARGIN_S = 0.002
+
+_NO_HEADERS = MappingProxyType[str, str]({})
+_CLOSING = MappingProxyType({'Connection': 'close'})
+_log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """Hold a request that passed its checks and may be sent to gates."""
+
+    call: Call
+    route: Route
+    pool: RetryPool
+    spent: Spent | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """Hold a request that did not pass its checks."""
+
+    refused: Refused
+    workspace: str = ''
+
+
+class Edge:
+    """Serve requests until the daemon drains."""
+
+    def __init__(self, edge_ports: ports.EdgePorts) -> None:
+        """Keep the ports of the daemon."""
+        self._ports = edge_ports
+        self._attempts = Attempts(edge_ports)
+        self.is_draining = False
+        self.in_flight = 0
+
+    async def serve_caller(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Serve a request of a caller."""
+        request_id = uuid.uuid4().hex
+        if request.path == TICKETS_PATH and request.method == 'POST':
+            return self._ticket(request, request_id)
+        self.in_flight += 1
+        try:
+            return await self._serve(
+                request, request_id, await self._admit(request, request_id)
+            )
+        finally:
+            self.in_flight -= 1
+
+    async def serve_deeper(
+        self, request: web.BaseRequest, chain_id: str
+    ) -> web.StreamResponse:
+        """Serve a deeper call of a chain in flight at the upstream."""
+        request_id = uuid.uuid4().hex
+        parent = self._ports.chains.find(chain_id)
+        if parent is None:
+            refused = Refused(Refusal.CHAIN_UNKNOWN)
+            return self._refusal(refused, '', request_id, request)
+        parent.deeper_started(time.monotonic())
+        is_refused = True
+        try:
+            response = await self._serve(
+                request, request_id, self._inherit(request, parent, request_id)
+            )
+            is_refused = names.OUTCOME in response.headers
+            return response
+        finally:
+            parent.deeper_ended(time.monotonic(), refused=is_refused)
+
+    async def _admit(
+        self, request: web.BaseRequest, request_id: str
+    ) -> Admitted | Denied:
+        now = time.monotonic()
+        if self.is_draining:
+            return Denied(Refused(Refusal.DRAINING, RETRY_AFTER_S))
+        policy = self._ports.policies.current()
+        if policy is None:
+            return Denied(Refused(Refusal.NOT_READY, RETRY_AFTER_S))
+        route = policy.routes.find(request.method, request.path)
+        if route is None:
+            return Denied(Refused(Refusal.NO_ROUTE))
+        workspace = self._workspace(request, route, now)
+        if isinstance(workspace, Refusal):
+            return Denied(Refused(workspace, _delay(workspace)))
+        deadline = credentials.deadline_of(request, route.timeout_ms, now)
+        if isinstance(deadline, Refusal):
+            return Denied(Refused(deadline), workspace)
+        call = _first_call(route, workspace, request_id, deadline)
+        return await self._spend(route, call)
+
+    async def _spend(self, route: Route, call: Call) -> Admitted | Denied:
+        spent = await self._ports.rates.spend(
+            call.workspace, call.request_id, call.deadline
+        )
+        match spent:
+            case ports.RateRefused(retry_after_s):
+                refused = Refused(Refusal.RATE, retry_after_s)
+                return Denied(refused, call.workspace)
+            case Spent():
+                pool = RetryPool(route.retries)
+                return Admitted(call, route, pool, spent)
+
+    def _workspace(
+        self, request: web.BaseRequest, route: Route, now: float
+    ) -> str | Refusal:
+        if route.open:
+            return OPEN_WORKSPACE
+        return credentials.workspace_of(request, self._ports.keyring, now)
+
+    def _inherit(
+        self, request: web.BaseRequest, parent: RunningCall, request_id: str
+    ) -> Admitted | Denied:
+        workspace = parent.call.workspace
+        policy = self._ports.policies.current()
+        if policy is None:
+            refused = Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+            return Denied(refused, workspace)
+        route = policy.routes.find(request.method, request.path)
+        if route is None or parent.call.depth + 1 >= MAX_DEPTH:
+            return Denied(Refused(Refusal.NO_ROUTE), workspace)
+        deadline = credentials.deadline_of(
+            request, route.timeout_ms, time.monotonic()
+        )
+        if isinstance(deadline, Refusal):
+            return Denied(Refused(deadline), workspace)
+        call = Call(
+            request_id=request_id,
+            chain_id=parent.call.chain_id,
+            workspace=parent.call.workspace,
+            service=route.service,
+            priority=parent.call.priority,
+            deadline=min(deadline, parent.call.deadline - RETURN_MARGIN_S),
+            depth=parent.call.depth + 1,
+            once=route.once,
+            idempotent=route.idempotent,
+        )
+        return Admitted(call, route, parent.pool)
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        admitted: Admitted | Denied,
+    ) -> web.StreamResponse:
+        match admitted:
+            case Denied(refused, workspace):
+                return self._refusal(refused, workspace, request_id, request)
+            case Admitted():
+                return await self._run_counted(request, admitted)
+
+    async def _run_counted(
+        self, request: web.BaseRequest, admitted: Admitted
+    ) -> web.StreamResponse:
+        call = admitted.call
+        if admitted.spent is not None:
+            self._ports.tally.admitted_by_workspace[call.workspace] += 1
+        ending = await self._run(request, admitted)
+        if isinstance(ending, web.StreamResponse):
+            self._ports.tally.answered_by_workspace[call.workspace] += 1
+            return ending
+        if admitted.spent is not None:
+            self._give_back(admitted.spent, ending)
+        return self._refusal(ending, call.workspace, call.request_id, request)
+
+    def _give_back(self, spent: Spent, refused: Refused) -> None:
+        if refused.known_outcome is Outcome.NOT_RUN:
+            self._ports.rates.give_back(spent)
+
+    async def _run(
+        self, request: web.BaseRequest, admitted: Admitted
+    ) -> Ending:
+        if not admitted.route.once:
+            return await self._send(request, admitted)
+        key = credentials.idempotency_key_of(request)
+        if isinstance(key, Refusal):
+            return Refused(key)
+        claimed = await self._ports.operations.claim(
+            admitted.call.workspace, key, admitted.call.deadline
+        )
+        if isinstance(claimed, Refused):
+            return claimed
+        may_have_run = True
+        try:
+            ending = await self._send(request, admitted)
+            may_have_run = _may_have_run(ending)
+            return ending
+        finally:
+            self._ports.operations.settle(claimed, may_have_run=may_have_run)
+
+    async def _send(
+        self, request: web.BaseRequest, admitted: Admitted
+    ) -> Ending:
+        left_s = admitted.call.deadline - time.monotonic()
+        try:
+            async with asyncio.timeout(max(left_s, 0)):
+                body = await read_body(request)
+        except TimeoutError:
+            return Refused(Refusal.NO_TIME, RETRY_AFTER_S)
+        outgoing = sending.Outgoing(
+            method=request.method,
+            path=request.raw_path,
+            head=request_head(request.headers),
+            body=body,
+        )
+        run = CallRun(admitted.call, request, outgoing, admitted.pool)
+        try:
+            return await self._attempts.run(run)
+        except BrokenAnswer:
+            abort(request)
+            return web.Response()
+
+    def _refusal(
+        self,
+        refused: Refused,
+        workspace: str,
+        request_id: str,
+        request: web.BaseRequest,
+    ) -> web.StreamResponse:
+        spread = refused
+        if refused.retry_after_s > 0:
+            spread = Refused(
+                refused.refusal,
+                spread_retry_after_s(refused.retry_after_s, self._ports.rng),
+                refused.outcome,
+            )
+        self._ports.tally.refused(workspace, refused.refusal)
+        _log.debug(
+            'refused',
+            kind=refused.refusal.value,
+            outcome=refused.known_outcome.value,
+            workspace=workspace,
+            request=request_id,
+        )
+        response = refusal_response(
+            spread, workspace, request_id, self._closing(request)
+        )
+        return response
+
+    def _closing(self, request: web.BaseRequest) -> MappingProxyType[str, str]:
+        unread = request.can_read_body and not request.content.is_eof()
+        return _CLOSING if self.is_draining or unread else _NO_HEADERS
+
+    def _ticket(
+        self, request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
+        workspace = credentials.workspace_of(
+            request, self._ports.keyring, time.monotonic()
+        )
+        if isinstance(workspace, Refusal):
+            refused = Refused(workspace, _delay(workspace))
+            return self._refusal(refused, '', request_id, request)
+        ticket = self._ports.operations.issue_ticket()
+        return web.json_response({'idempotency_key': ticket})
+
+
+def _first_call(
+    route: Route, workspace: str, request_id: str, deadline: float
+) -> Call:
+    return Call(
+        request_id=request_id,
+        chain_id=request_id,
+        workspace=workspace,
+        service=route.service,
+        priority=route.priority,
+        deadline=deadline,
+        once=route.once,
+        idempotent=route.idempotent,
+    )
+
+
+def _may_have_run(ending: Ending) -> bool:
+    match ending:
+        case Refused():
+            return ending.known_outcome is not Outcome.NOT_RUN
+        case web.StreamResponse():
+            return True
+
+
+def _delay(refusal: Refusal) -> float:
+    return RETRY_AFTER_S if refusal is Refusal.KEYS_STALE else 0
--- a/packages/decisions/src/dragonflyknot/decisions/calls.py
+++ b/packages/decisions/src/dragonflyknot/decisions/calls.py
@@ -65,7 +65,8 @@
 
     `threshold` is the lowest priority that the gate now admits, `prompt`
     the lowest that starts without a long wait; `limit`, `running` and
-    `queued` count requests.
+    `queued` count requests. `epoch` is the ledger epoch that senders put
+    into the ids of new attempts.
     """
 
     state: UpstreamState
@@ -74,3 +75,4 @@
     queued: int
     threshold: int
     prompt: int = 0
+    epoch: int = 0
