Tell a deeper failure from a failure of the upstream itself

Cause: answers with 5xx that a deeper service caused counted against the gate that relayed them, so a slow deep service would eject healthy targets and shrink healthy gates; retries were not paid by workspace in the edge. Conclusion: the gate marks such answers and both sides ignore them; the edge passes the workspace to the router and to the retry budget.

--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -79,6 +79,7 @@
             _is_large(run),
             now,
             self._ports.rng,
+            run.call.workspace,
         )
         match choice:
             case routing.NoTarget(refusal, retry_after_s):
@@ -194,7 +195,8 @@
         run.may_have_run = True
         response = await relay(received.answer, run.request, head)
         run.answer_bytes = received.answer.content.total_bytes
-        self._ports.budget.succeeded(time.monotonic())
+        if received.answer.status < _SERVER_ERROR:
+            self._ports.budget.succeeded(time.monotonic(), run.call.workspace)
         return response
 
     def _broken(self, run: CallRun, broken: BrokenAnswer) -> Refused:
@@ -211,11 +213,16 @@
         if refused.is_final or not run.outgoing.body.can_be_sent:
             return False
         now = time.monotonic()
-        if now >= run.call.deadline or not self._ports.budget.may_retry(now):
+        if now >= run.call.deadline:
             return False
-        if not run.pool.spend():
+        return self._pay_retry(run, now)
+
+    def _pay_retry(self, run: CallRun, now: float) -> bool:
+        budget = self._ports.budget
+        workspace = run.call.workspace
+        if not budget.may_retry(now, workspace) or not run.pool.spend():
             return False
-        self._ports.budget.retried(now)
+        budget.retried(now, workspace)
         return True
 
 
@@ -232,19 +239,27 @@
 def _ending(received: sending.Received) -> routing.Ending:
     match received:
         case sending.Answered(answer):
-            if answer.status >= _SERVER_ERROR:
-                return routing.Ending.FAILED
-            return routing.Ending.DONE
-        case sending.Rejected(refused):
-            if refused.known_outcome is Outcome.NOT_RUN:
-                return routing.Ending.REFUSED
+            if answer.status < _SERVER_ERROR:
+                return routing.Ending.DONE
+            if names.HOP_DEEPER_FAILED in answer.headers:
+                return routing.Ending.DEEPER
             return routing.Ending.FAILED
+        case sending.Rejected(refused):
+            return _ending_of_refusal(refused)
         case sending.Lost(was_sent=True):
             return routing.Ending.SILENT
         case sending.Lost():
             return routing.Ending.UNREACHABLE
 
 
+def _ending_of_refusal(refused: Refused) -> routing.Ending:
+    if refused.known_outcome is Outcome.NOT_RUN:
+        return routing.Ending.REFUSED
+    if refused.is_final:
+        return routing.Ending.DEEPER
+    return routing.Ending.FAILED
+
+
 def _lost_refusal(resolved: ledger.Resolved) -> Refused:
     match resolved:
         case ledger.ResolvedNever():
--- a/packages/callers/src/dragonflyknot/callers/edge.py
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -34,6 +34,7 @@
 TICKETS_PATH = '/.dragonflyknot/tickets'
 RETRY_AFTER_S = 1.0
 RETURN_MARGIN_S = 0.002
+_SERVER_ERROR = 500
 
 _NO_HEADERS = MappingProxyType[str, str]({})
 _CLOSING = MappingProxyType({'Connection': 'close'})
@@ -93,15 +94,15 @@
             refused = Refused(Refusal.CHAIN_UNKNOWN)
             return self._refusal(refused, '', request_id, request)
         parent.deeper_started(time.monotonic())
-        is_refused = True
+        is_failed = True
         try:
             response = await self._serve(
                 request, request_id, self._inherit(request, parent, request_id)
             )
-            is_refused = names.OUTCOME in response.headers
+            is_failed = _has_failed(response)
             return response
         finally:
-            parent.deeper_ended(time.monotonic(), refused=is_refused)
+            parent.deeper_ended(time.monotonic(), failed=is_failed)
 
     async def _admit(
         self, request: web.BaseRequest, request_id: str
@@ -304,6 +305,10 @@
     )
 
 
+def _has_failed(response: web.StreamResponse) -> bool:
+    return names.OUTCOME in response.headers or response.status >= _SERVER_ERROR
+
+
 def _may_have_run(ending: Ending) -> bool:
     match ending:
         case Refused():
--- a/packages/decisions/src/dragonflyknot/decisions/chains.py
+++ b/packages/decisions/src/dragonflyknot/decisions/chains.py
@@ -20,7 +20,7 @@
 
     call: Call
     pool: RetryPool
-    is_deeper_refused: bool = False
+    has_deeper_failed: bool = False
     deeper_s: float = 0
     _deeper_calls: int = 0
     _deeper_since: float = 0
@@ -31,12 +31,12 @@
             self._deeper_since = now
         self._deeper_calls += 1
 
-    def deeper_ended(self, now: float, *, refused: bool) -> None:
-        """Note that a deeper call ended, and whether it was refused."""
+    def deeper_ended(self, now: float, *, failed: bool) -> None:
+        """Note that a deeper call ended, and whether it failed."""
         self._deeper_calls -= 1
         if not self._deeper_calls:
             self.deeper_s += now - self._deeper_since
-        self.is_deeper_refused = self.is_deeper_refused or refused
+        self.has_deeper_failed = self.has_deeper_failed or failed
 
 
 class Chains:
--- a/packages/upstreams/src/dragonflyknot/upstreams/gate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/gate.py
@@ -174,6 +174,8 @@
             names.HOP_LOAD: encode_load(self.report()),
             names.HOP_RETRIES_UNUSED: str(running.pool.seal()),
         }
+        if running.has_deeper_failed:
+            extra[names.HOP_DEEPER_FAILED] = '1'
         try:
             response = await relay(
                 answer, request, answer_head(answer.headers, extra)
@@ -184,18 +186,16 @@
                 raise
             refused = Refused(Refusal.UPSTREAM_BROKE)
             return self._failed(attempt, running, refused)
-        if answer.status >= _SERVER_ERROR:
-            return response, admission.Verdict.FAILED
-        return response, admission.Verdict.SUCCEEDED
+        return response, _verdict(answer.status, running)
 
     def _failed(
         self, attempt: Attempt, running: RunningCall, refused: Refused
     ) -> tuple[web.StreamResponse, admission.Verdict]:
-        verdict = admission.Verdict.FAILED
+        verdict = _verdict(_SERVER_ERROR, running)
         if refused.known_outcome is Outcome.NOT_RUN:
             self._ports.ledger.never_ran(attempt.attempt_id, time.monotonic())
             verdict = admission.Verdict.REFUSED
-        final = replace(refused, is_final=running.is_deeper_refused)
+        final = replace(refused, is_final=running.has_deeper_failed)
         unused = running.pool.seal()
         return self._refuse(attempt, final, unused), verdict
 
@@ -236,5 +236,13 @@
         )
 
 
+def _verdict(status: int, running: RunningCall) -> admission.Verdict:
+    if status < _SERVER_ERROR:
+        return admission.Verdict.SUCCEEDED
+    if running.has_deeper_failed:
+        return admission.Verdict.DEEPER
+    return admission.Verdict.FAILED
+
+
 def _reach(refused: Refused) -> str:
     return _FINAL if refused.is_final else _LOCAL
--- a/tests/unit/test_admission_rules.py
+++ b/tests/unit/test_admission_rules.py
@@ -3,14 +3,15 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
 from dragonflyknot.decisions import admission
 from dragonflyknot.decisions.admission import Refuse, Start, Verdict
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.document import Service
 from dragonflyknot.decisions.refusals import Refusal
-from hypothesis import given, settings
-from hypothesis import strategies as st
-from testtools import TestCase
 
 
 class Step(NamedTuple):
--- a/tests/unit/test_retry_rules.py
+++ b/tests/unit/test_retry_rules.py
@@ -2,6 +2,10 @@
 
 import random
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
 from dragonflyknot.decisions.calls import Outcome
 from dragonflyknot.decisions.retry import (
     BUDGET_FLOOR,
@@ -14,9 +18,6 @@
     is_retryable,
     spread_retry_after_s,
 )
-from hypothesis import given, settings
-from hypothesis import strategies as st
-from testtools import TestCase
 
 MAX_HOPS = 22
 
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -2,11 +2,12 @@
 
 import random
 
+from testtools import TestCase
+
 from dragonflyknot.decisions import routing
 from dragonflyknot.decisions.calls import LoadReport, UpstreamState
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.routing import Ending
-from testtools import TestCase
 
 NEAR, REGIONAL, FAR = 'near', 'regional', 'far'
 
--- a/tests/unit/test_routing_rules.py
+++ b/tests/unit/test_routing_rules.py
@@ -4,13 +4,14 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
 from dragonflyknot.decisions import routing
 from dragonflyknot.decisions.calls import LoadReport, UpstreamState
 from dragonflyknot.decisions.routing import Ending
 from dragonflyknot.decisions.targets import Distance
-from hypothesis import given, settings
-from hypothesis import strategies as st
-from testtools import TestCase
 
 HOSTS = tuple(f'host-{number}' for number in range(6))
 STATES = (UpstreamState.READY, *UpstreamState)
