Hold the settling of writes to late and lost arrivals

Cause: the settling of lost answers had examples only. A property test now drives it with writes that are lost, late, overtaken or answered by an outage, and checks each answer after everything has arrived: Ok applied once, a conflict or an outage never. The embedded table refuses what the service would refuse (a row twice, empty keys, too many or too large rows); the stand-in had answered such a write as an outage, and the client took an older row with its nonce for success.

--- a/packages/platform/src/dragonflyknot/platform/embedded.py
+++ b/packages/platform/src/dragonflyknot/platform/embedded.py
@@ -18,9 +18,11 @@
     Conflict,
     PlatformError,
     ReadError,
+    Rejected,
     Unavailable,
 )
 from dragonflyknot.platform.interfaces import PAGE_ROWS, Page, Usage
+from dragonflyknot.platform.limits import fault_of
 from dragonflyknot.platform.switches import Switches
 from dragonflyknot.platform.writes import (
     CompareAndSet,
@@ -99,6 +101,9 @@
         match await _admitted(self.switches, TABLE):
             case Unavailable() as error:
                 return Err(error)
+        match fault_of(writes):
+            case str() as fault:
+                return Err(Rejected(TABLE, fault))
         self.usage.writes += len(writes)
         conflicts = tuple(filter(None, map(self._conflict, writes)))
         if conflicts:
--- a/packages/platform/src/dragonflyknot/platform/standin/tablecalls.py
+++ b/packages/platform/src/dragonflyknot/platform/standin/tablecalls.py
@@ -20,6 +20,7 @@
     ConditionFailed,
     PlatformError,
     ReadError,
+    Rejected,
 )
 from dragonflyknot.platform.writes import (
     CompareAndSet,
@@ -178,6 +179,8 @@
     match error:
         case AnswerLost():
             raise LostAnswerError
+        case Rejected(_, code):
+            return _refused('ValidationException', code)
         case _:
             return _refused('ServiceUnavailable', str(error), status=503)
 
--- a/tests/integration/test_command_line.py
+++ b/tests/integration/test_command_line.py
@@ -17,6 +17,7 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 from asyncrun import run_async
+from childenviron import process_environ
 from dragonflyknot.operators.main import application
 from dragonflyknot.operators.room import Room
 from dragonflyknot.platform.standin.server import Standin
@@ -66,7 +67,7 @@
             '-m',
             'dragonflyknot.operators.main',
             *words,
-            env={**os.environ, **self._environ},
+            env={**process_environ(), **self._environ},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
--- a/tests/integration/test_standin.py
+++ b/tests/integration/test_standin.py
@@ -1,5 +1,7 @@
 """Check the clients against the stand-in: each call and each switch."""
 
+import asyncio
+import sys
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -7,10 +9,12 @@
 from result import Ok
 
 from asyncrun import run_async
+from childenviron import process_environ
 from dragonflyknot.platform.backends import Backend, RemoteBackend
 from dragonflyknot.platform.errors import (
     AnswerLost,
     ConditionFailed,
+    Rejected,
     Unavailable,
 )
 from dragonflyknot.platform.interfaces import PAGE_ROWS
@@ -210,6 +214,31 @@
         against_standin(body)
 
 
+class StandinProcessTest(testtools.TestCase):
+    """The stand-in runs as a process and stops on SIGTERM."""
+
+    def test_process_serves_and_stops(self) -> None:
+        async def run() -> None:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'dragonflyknot.platform.standin',
+                env=process_environ(),
+                stdout=asyncio.subprocess.PIPE,
+            )
+            assert process.stdout is not None
+            endpoint = (await process.stdout.readline()).decode().strip()
+            settings = settings_for(endpoint, DEADLINE_S)
+            async with RemoteBackend(settings) as backend:
+                self.assertEqual(await backend.table.write(PUT), Ok(None))
+                twice = (await backend.table.transact((PUT, PUT))).unwrap_err()
+                self.assertIsInstance(twice, Rejected)
+            process.terminate()
+            self.assertEqual(await process.wait(), 0)
+
+        run_async(run())
+
+
 class SettingsTest(testtools.TestCase):
     """Credentials stay out of representations and errors."""
 
--- a/tests/unit/test_settling.py
+++ b/tests/unit/test_settling.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err, Ok, Result
 
 from asyncrun import run_async
@@ -11,6 +13,7 @@
     AnswerLost,
     ConditionFailed,
     PlatformError,
+    Rejected,
     Unavailable,
 )
 from dragonflyknot.platform.settling import Evidence, SettledTable, evidence
@@ -112,3 +115,137 @@
         self.inner.unsent = 3
         self.assertIsInstance(self._write(PUT).unwrap_err(), AnswerLost)
         self.assertIsNone(self._row())
+
+
+FATES = st.sampled_from(
+    [
+        'arrives',
+        'unanswered',
+        'overtaken',
+        'lost',
+        'late',
+        'behind',
+        'far behind',
+        'out',
+    ]
+)
+
+
+class LateTable(EmbeddedTable):
+    """Answer, lose or hold back each write as a plan says.
+
+    An `overtaken` write is applied, replaced by another writer's and not
+    answered; one that comes `behind` arrives after those held back, and
+    `far behind` after another writer's, too.
+    """
+
+    def __init__(self, fates: list[str]) -> None:
+        super().__init__()
+        self.fates = fates
+        self.applied: list[str] = []
+        self._late: list[Sequence[Write]] = []
+
+    async def transact(
+        self, writes: Sequence[Write]
+    ) -> Result[None, PlatformError]:
+        fate = self.fates.pop() if self.fates else 'arrives'
+        match fate:
+            case 'out':
+                return Err(Unavailable('table service', fate))
+            case 'arrives':
+                return await self._arrives(writes)
+            case 'behind':
+                await self.flush()
+                return await self._arrives(writes)
+            case 'far behind':
+                await self.flush()
+                await self._overtake()
+                return await self._arrives(writes)
+            case 'unanswered':
+                await self._arrives(writes)
+            case 'overtaken':
+                await self._arrives(writes)
+                await self._overtake()
+            case 'late':
+                self._late.append(writes)
+        return Err(AnswerLost('table service', fate))
+
+    async def flush(self) -> None:
+        """Let the writes that were held back arrive."""
+        while self._late:
+            await self._arrives(self._late.pop(0))
+
+    async def _overtake(self) -> None:
+        row = (await self.get(KEY)).unwrap()
+        if row is not None:
+            other = CompareAndSet(row, f'other-{row.version}', 'z')
+            await super().transact((other,))
+
+    async def _arrives(
+        self, writes: Sequence[Write]
+    ) -> Result[None, PlatformError]:
+        answer = await super().transact(writes)
+        match answer, writes[0]:
+            case Ok(), PutIfAbsent() | CompareAndSet() as write:
+                self.applied.append(write.nonce)
+        return answer
+
+
+class LateWritesTest(testtools.TestCase):
+    """Whatever is lost or late, an answer that is given is true.
+
+    Rows are not deleted here: an insert that arrives after its row was
+    deleted applies, and no read can foresee it.
+    """
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=600)
+    @given(st.lists(FATES, max_size=24), st.integers(2, 6))
+    def test_answers_are_true_after_late_arrivals(
+        self, fates: list[str], rounds: int
+    ) -> None:
+        run_async(self._check(fates, rounds))
+
+    async def _check(self, fates: list[str], rounds: int) -> None:
+        inner = LateTable(fates)
+        table = SettledTable(inner)
+        answer_by_nonce: dict[str, Result[None, PlatformError]] = {}
+        stale: Row | None = None
+        for number in range(rounds):
+            nonce = f'n{number}'
+            write = _write_after(stale, nonce)
+            answer_by_nonce[nonce] = await table.write(write)
+            if number % 2:
+                stale = (await table.get(KEY)).unwrap()
+        await inner.flush()
+        for nonce, answer in answer_by_nonce.items():
+            count = inner.applied.count(nonce)
+            match answer:
+                case Ok():
+                    self.assertEqual(count, 1)
+                case Err(AnswerLost()):
+                    self.assertLessEqual(count, 1)
+                case _:
+                    self.assertEqual(count, 0)
+
+
+def _write_after(row: Row | None, nonce: str) -> Write:
+    if row is None:
+        return PutIfAbsent(KEY, nonce, 'x')
+    return CompareAndSet(row, nonce, 'x')
+
+
+class LimitsTest(testtools.TestCase):
+    """The embedded table refuses what the service would refuse."""
+
+    def test_writes_beyond_the_limits_are_rejected(self) -> None:
+        table = EmbeddedTable()
+        many = tuple(
+            PutIfAbsent(RowKey('p', str(number)), 'n', '')
+            for number in range(101)
+        )
+        huge = PutIfAbsent(KEY, 'n', 'x' * 400_001)
+        nameless = PutIfAbsent(RowKey('p', ''), 'n', '')
+        for writes in (many, (), (PUT, PUT), (huge,), (nameless,)):
+            error = run_async(table.transact(writes)).unwrap_err()
+            self.assertIsInstance(error, Rejected)
+        self.assertEqual(table.usage.writes, 0)
