--- a/measure/harness/gossipfleet.py
+++ b/measure/harness/gossipfleet.py
@@ -7,7 +7,7 @@
 
 import heapq
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from functools import partial
 
@@ -49,9 +49,14 @@
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._queued = 0
 
-    def add(self, member: msg.Member, addresses: tuple[str, ...] = ()) -> None:
-        """Start a daemon that knows the addresses of some others."""
-        self.daemons_by_host[member.host] = Membership(member)
+    def add(
+        self,
+        member: msg.Member,
+        addresses: tuple[str, ...] = (),
+        known: Iterable[msg.Member] = (),
+    ) -> None:
+        """Start a daemon that knows some addresses or members."""
+        self.daemons_by_host[member.host] = Membership(member, known)
         self.known_hosts_by_host[member.host] = set()
         self.feed(member.host, msg.AddressesLearned(addresses))
         daemon = self.daemons_by_host[member.host]
--- a/packages/daemon/src/dragonflyknot/daemon/keysync.py
+++ b/packages/daemon/src/dragonflyknot/daemon/keysync.py
@@ -52,6 +52,14 @@
     needed: int
 
 
+@dataclass(frozen=True, slots=True)
+class _StoreRead:
+    """Hold changes from the log, and the head that was read before it."""
+
+    changes: KeyChanges
+    head: int
+
+
 class KeyLoop:
     """Own the freshness of the keyring; a context manager."""
 
@@ -144,40 +152,40 @@
     async def _refresh(self) -> None:
         asked_at = time.monotonic()
         match await self._read_store():
-            case Ok(changes):
+            case Ok(read):
                 self._failed_at = None
-                self._keyring.install(changes)
-                self._keyring.confirm_by_store(changes.sequence, asked_at)
+                self._keyring.install(read.changes)
+                self._keyring.confirm_by_store(read.head, asked_at)
             case Err(error):
                 self._failed_at = time.monotonic()
                 _log.warning('keys_not_read', reason=str(error))
                 await self._ask_witnesses()
 
-    async def _read_store(self) -> Result[KeyChanges, ReadError]:
+    async def _read_store(self) -> Result[_StoreRead, ReadError]:
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 return await self._read_changes()
         except TimeoutError:
             return Err(Unavailable('table service', 'no answer in time'))
 
-    async def _read_changes(self) -> Result[KeyChanges, ReadError]:
+    async def _read_changes(self) -> Result[_StoreRead, ReadError]:
         since = self._keyring.sequence
         row = await self._table.get(key_head_key(self._environment))
         if isinstance(row, Err):
             return row
         if row.ok_value is None:
-            return Ok(KeyChanges(since, 0, ()))
+            return Ok(_StoreRead(KeyChanges(since, since, ()), since))
         head = decoded(KeyHeadBody, row.ok_value)
         if isinstance(head, Err):
             return head
         sequence = head.ok_value.sequence
         if sequence <= since:
-            return Ok(KeyChanges(since, sequence, ()))
+            return Ok(_StoreRead(KeyChanges(since, since, ()), sequence))
         return await self._read_log(since, sequence)
 
     async def _read_log(
         self, since: int, sequence: int
-    ) -> Result[KeyChanges, ReadError]:
+    ) -> Result[_StoreRead, ReadError]:
         partition = key_log_partition(self._environment)
         rows = await read_all(self._table, partition, padded(since))
         if isinstance(rows, Err):
@@ -188,7 +196,9 @@
             if isinstance(body, Err):
                 return body
             records.append(_record(body.ok_value))
-        return Ok(KeyChanges(since, sequence, tuple(records)))
+        reached = _reached(since, records)
+        changes = KeyChanges(since, reached, tuple(records))
+        return Ok(_StoreRead(changes, sequence))
 
     async def _ask_witnesses(self) -> None:
         await asyncio.gather(
@@ -242,3 +252,12 @@
     return KeyRecord(
         body.key_hash, body.workspace, body.withdrawn, body.sequence
     )
+
+
+def _reached(since: int, records: Iterable[KeyRecord]) -> int:
+    """Return the number up to which the log has no gap."""
+    reached = since
+    for record in records:
+        if record.sequence == reached + 1:
+            reached += 1
+    return reached
--- a/packages/decisions/src/dragonflyknot/decisions/membership.py
+++ b/packages/decisions/src/dragonflyknot/decisions/membership.py
@@ -46,12 +46,14 @@
 class Membership:
     """Hold one daemon's view and decide whom to tell what."""
 
-    def __init__(self, own: Member) -> None:
-        """Start knowing only the daemon itself."""
+    def __init__(self, own: Member, known: Iterable[Member] = ()) -> None:
+        """Start with the members that are known already."""
         self.view = MemberView()
+        for member in known:
+            self.view.put(member, 0, is_news=False)
         self._own = own
         self._followed: set[str] = set()
-        self._whole = True
+        self._whole = len(self.view) <= WHOLE_VIEW_MEMBERS
         self._addresses: tuple[str, ...] = ()
         self._revision = NO_REVISION
         self._suspicions = Suspicions()
@@ -121,7 +123,8 @@
         known = self.view.get(member.host)
         if known is None and member.standing is Standing.GONE:
             return
-        if not self.view.put(member, now):
+        is_news = self.follows(member.service)
+        if not self.view.put(member, now, is_news=is_news):
             if self.view.get(member.host) is not known:
                 self._tell(member.host)
             return
@@ -131,7 +134,7 @@
             if rng.random() * (len(self.view) + 1) < SUSPECT_PROBES:
                 self._send(member, rng)
         self._tell(member.host)
-        if self.follows(member.service) and _is_urgent(known, member):
+        if is_news and _is_urgent(known, member):
             self._urgent = True
         if known is None:
             self._shed_others(rng)
--- a/packages/decisions/src/dragonflyknot/decisions/memberview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/memberview.py
@@ -70,8 +70,8 @@
             return digest ^ _mark(own)
         return digest
 
-    def put(self, member: Member, now: float) -> bool:
-        """Keep a higher version and note it for sending; tell if it was."""
+    def put(self, member: Member, now: float, *, is_news: bool = True) -> bool:
+        """Keep a higher version; news is sent on. Return if it was kept."""
         known = self.members_by_host.get(member.host)
         if known is not None and version_of(member) <= version_of(known):
             self._take_report(known, member)
@@ -81,7 +81,8 @@
             if known.incarnation == member.incarnation:
                 member = _with_latest_report(member, known)
         self._link(member, now)
-        self._sends_left_by_host[member.host] = self._sends()
+        if is_news:
+            self._sends_left_by_host[member.host] = self._sends()
         return True
 
     def drop(self, host: str) -> None:
--- a/packages/decisions/src/dragonflyknot/decisions/outage.py
+++ b/packages/decisions/src/dragonflyknot/decisions/outage.py
@@ -23,8 +23,8 @@
     """Tell how a witness last found the store.
 
     `is_out` says that its last read failed, and that it was made within
-    some seconds. `sequence` is that of its copy of the keys, and `announced` are
-    the keys whose withdrawal it was told of before the table had it.
+    some seconds. `sequence` is that of its copy of the keys, and `announced`
+    are the keys whose withdrawal it was told of before the table had it.
     """
 
     is_out: bool
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -22,7 +22,7 @@
 )
 from dragonflyknot.peers.controlwire import KeysTold
 from dragonflyknot.peers.wire import control_pb2 as wire
-from freeports import free_port
+from harness.addresses import free_addresses
 from harness.gossipfleet import build_member
 
 SECRET = 'a secret of the fleet'
@@ -92,8 +92,8 @@
     def setUp(self) -> None:
         super().setUp()
         self.handlers = _Handlers()
-        self.port = free_port()
-        self.address = f'127.0.0.1:{self.port}'
+        self.address, self.closed = free_addresses(2)
+        self.port = int(self.address.rpartition(':')[2])
 
     def test_every_call_round_trips(self) -> None:
         async def body(client: ControlClient) -> None:
@@ -153,7 +153,7 @@
             self.handlers.delay_s = 0
             again = await client.gossip(self.address, GOSSIP, 1)
             self.assertTrue(again.is_ok())
-            closed = await client.gossip(f'127.0.0.1:{free_port()}', GOSSIP, 1)
+            closed = await client.gossip(self.closed, GOSSIP, 1)
             self.assertTrue(closed.is_err())
 
         self._run(body)
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -28,7 +28,7 @@
 from dragonflyknot.platform.rows import hash_of_key
 from dragonflyknot.platform.settling import SettledTable
 from dragonflyknot.platform.switches import Switches
-from freeports import free_port
+from harness.addresses import free_addresses
 
 ENVIRONMENT = 'trial'
 DOCUMENT = Path(__file__).parents[2] / 'examples' / 'jadeleaf.toml'
@@ -57,14 +57,14 @@
             await self.stack.enter_async_context(fleet)
 
     def _parts(self, number: int) -> FleetParts:
-        control = f'127.0.0.1:{free_port()}'
+        requests, control = free_addresses(2)
         settings = load_settings(
             {
                 'host': f'h{number}',
                 'data-center': f'dc{number}',
                 'region': f'region{number % 2}',
                 'environment': ENVIRONMENT,
-                'requests-listen': f'127.0.0.1:{free_port()}',
+                'requests-listen': requests,
                 'control-listen': control,
                 'fleet-secret': 'a secret of the whole fleet',
                 'store-region': 'region0',
