--- a/measure/experiments/figures.py
+++ b/measure/experiments/figures.py
@@ -34,6 +34,14 @@
     wrong_workspace: float | None = None
     link_bytes: float | None = None
     store_writes: float | None = None
+    added_ms_p50: float | None = None
+    added_ms_p99: float | None = None
+    resident_mb: float | None = None
+    idle_core_ratio: float | None = None
+    withdrawn_key_seconds: float | None = None
+    in_force_seconds: float | None = None
+    last_new_work_seconds: float | None = None
+    cut_off: float | None = None
     baseline: 'Figures | None' = None
 
     def measured(self) -> dict[str, float]:
@@ -68,6 +76,13 @@
     Bound('worst_workspace_ratio', ge, 0.95, 'flood'),
     Bound('refused_within_rate_ratio', le, 0.001, 'rates-steady'),
     Bound('refused_within_rate_ratio', le, 0.01, 'rates-daemon-killed'),
+    Bound('added_ms_p99', le, 1.5),
+    Bound('resident_mb', le, 256),
+    Bound('idle_core_ratio', le, 0.013),
+    Bound('withdrawn_key_seconds', le, 3),
+    Bound('in_force_seconds', le, 5),
+    Bound('last_new_work_seconds', le, 2),
+    Bound('cut_off', le, 0),
 )
 
 
--- a/measure/experiments/main.py
+++ b/measure/experiments/main.py
@@ -17,7 +17,7 @@
 from experiments.figures import Figures, missed
 
 SEED = 20261
-MODULES = ('flow', 'rates', 'state', 'surge')
+MODULES = ('flow', 'rates', 'surge', 'added', 'live')
 RESULTS = Path(__file__).parent.parent / 'results.json'
 
 
--- a/measure/harness/fleet.py
+++ b/measure/harness/fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import tempfile
+from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -200,12 +201,19 @@
             case Err(error):
                 raise RuntimeError(str(error))
 
-    async def dump(self, host: str) -> dict[str, object]:
+    async def dump(self, host: str) -> Dump:
         """Return the state dump of a daemon."""
         url = f'http://{self.addresses_by_host[host].operators}/dump'
         async with aiohttp.ClientSession() as session:
             async with session.get(url) as answer:
-                return dict(await answer.json())
+                return Dump.model_validate(await answer.json())
+
+    def runs_by_tag(self) -> Counter[str]:
+        """Return how often each tagged request ran, over all upstreams."""
+        total: Counter[str] = Counter()
+        for upstream in self.upstreams_by_host.values():
+            total.update(upstream.ledger.runs_by_tag)
+        return total
 
     async def stop_daemon(self, host: str) -> int:
         """Stop a daemon gracefully; return its exit code."""
@@ -233,7 +241,7 @@
         return self.addresses_by_host[host].callers
 
     async def _known_services(self, spec: HostSpec) -> set[str]:
-        dump = Dump.model_validate(await self.dump(spec.host))
+        dump = await self.dump(spec.host)
         known = {member.service for member in dump.members}
         return {*known, *dump.services} - {''}
 
