Keep the collector from walking what lives as long as the process

Cause: a full collection walks the libraries' 143,000 objects and stops the loop. Before: 103 ms a full collection with the platform's clients open; after gc.freeze: 0.006 ms for the rest. Conclusion: kept; the added time of single requests did not change beyond the noise of a busy machine (p50 1.7 times the bare forwarders in both).

--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import math
 import random
 import time
@@ -50,6 +51,7 @@
 EXIT_OK = 0
 EXIT_CUT_OFF = 1
 HOUSEKEEPING_S = 0.5
+COLLECT_AFTER_OBJECTS = 20_000
 MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
 
@@ -254,6 +256,14 @@
             await self._sessions.close_unused()
 
 
+def _tune_collector() -> None:
+    # The libraries' objects live as long as the process; walking them again
+    # and again would stop the loop for tens of milliseconds each time.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER_OBJECTS)
+
+
 async def _open_backend(stack: AsyncExitStack, settings: Settings) -> Backend:
     if settings.platform == 'embedded':
         return embedded_backend()
@@ -275,6 +285,7 @@
     """Run until a signal, drain and return the exit code."""
     with lifecycle.StopSignals() as stop:
         async with Daemon(settings) as daemon:
+            _tune_collector()
             _log.info('started', incarnation=daemon.incarnation)
             await stop.first.wait()
             daemon.drain()
