--- a/measure/experiments/ratefleet.py
+++ b/measure/experiments/ratefleet.py
@@ -136,6 +136,7 @@
         self.alive = True
         self.stopping = False
         self.paused_until = float(0)
+        self.usable_until = float(0)
         self.quota = Quota(
             candidate.host,
             incarnation,
@@ -186,12 +187,10 @@
                     self.fleet.ask_witness(self, command)
                 case Nudge(host):
                     self.fleet.nudge(self, host)
-                case (
-                    ShardGained()
-                    | ShardLost()
-                    | LeaseExtended()
-                    | HoldersChanged()
-                ):
+                case LeaseExtended(until):
+                    self.usable_until = until
+                    self.rate(command)
+                case ShardGained() | ShardLost() | HoldersChanged():
                     self.rate(command)
                 case StopFinished():
                     self.alive = False
--- a/packages/decisions/src/dragonflyknot/decisions/accounts.py
+++ b/packages/decisions/src/dragonflyknot/decisions/accounts.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
+from math import floor
 
 from dragonflyknot.decisions.buckets import Bucket
 from dragonflyknot.decisions.document import Workspace
@@ -25,6 +26,7 @@
 _ASK_TIMEOUT_S = 0.2
 _SHORTEST_REST_S = 0.02
 _LONGEST_REST_S = 0.25
+_WAITING_REST_S = 0.08
 _NO_HOLDER_REST_S = 0.5
 _SHORTEST_RETRY_S = 0.05
 _LONGEST_RETRY_S = 30.0
@@ -55,7 +57,9 @@
         '_arrived',
         '_asks_by_id',
         '_counted_at',
+        '_eager_hosts',
         '_rest_until_by_host',
+        '_rested_at_by_host',
         'buckets_by_shard',
         'demand',
         'holdings',
@@ -74,7 +78,9 @@
         self._arrived = 0
         self._counted_at = now
         self._asks_by_id: dict[str, OpenAsk] = {}
+        self._rested_at_by_host: dict[str, float] = {}
         self._rest_until_by_host: dict[str, float] = {}
+        self._eager_hosts: set[str] = set()
 
     @property
     def idle(self) -> bool:
@@ -83,6 +89,7 @@
             self.waiters
             or self._asks_by_id
             or self.holdings.grants_by_id
+            or self.holdings.spent_by_id
             or self._arrived
             or self.demand
         )
@@ -105,10 +112,9 @@
 
     def take(self, now: float, usable: bool) -> Spent | None:
         """Spend one token if there is one."""
-        for grant in self.holdings.grants_by_id.values():
-            if grant.left >= 1 and grant.expires_at > now:
-                grant.left -= 1
-                return self._spent(now, SpentPart(grant.grant_id, 0, 1))
+        part = self.holdings.take_one(now)
+        if part is not None:
+            return self._spent(now, part)
         if usable:
             for shard, bucket in self.buckets_by_shard.items():
                 bucket.refill(now)
@@ -149,8 +155,18 @@
         for bucket in buckets:
             bucket.refill(now)
         fullest = max(buckets, key=lambda bucket: bucket.level)
+        # Whole tokens save the borrower from gathering fractions.
+        if fullest.level >= 1:
+            amount = min(amount, floor(fullest.level))
         return fullest.lend(grant_id, amount, now)
 
+    def blocked_within(self, horizon_s: float) -> bool:
+        """Tell whether lent tokens may stop the minting in `horizon_s`."""
+        return any(
+            bucket.blocked_within(horizon_s)
+            for bucket in self.buckets_by_shard.values()
+        )
+
     def open_ask(self, grant_id: str, ask: OpenAsk) -> None:
         """Remember a request for tokens that is being sent."""
         self._asks_by_id[grant_id] = ask
@@ -166,6 +182,10 @@
         ask = self._asks_by_id.pop(answer.grant_id, None)
         if ask is None:
             return
+        if answer.full:
+            self._eager_hosts.add(ask.host)
+        else:
+            self._eager_hosts.discard(ask.host)
         expires_at = ask.asked_at + EDGE_VALIDITY_S
         if answer.amount < ask.amount:
             self._rest(ask.host, answer, now)
@@ -187,9 +207,13 @@
             ask.amount for ask in self._asks_by_id.values() if not ask.lost
         )
 
+    def settles_eagerly(self, host: str) -> bool:
+        """Tell whether a lender wants to hear soon of spent tokens."""
+        return host in self._eager_hosts
+
     def askable(self, host: str, now: float) -> bool:
         """Tell whether a holder may be asked at `now`."""
-        if self._rest_until_by_host.get(host, 0) > now:
+        if self._rests(host, now):
             return False
         return not any(
             ask.host == host and not ask.lost
@@ -222,11 +246,20 @@
                 amount -= taken
                 yield SpentPart('', shard, taken)
 
+    def _rests(self, host: str, now: float) -> bool:
+        if self._rest_until_by_host.get(host, 0) <= now:
+            return False
+        if not self.waiters:
+            return True
+        rested_at = self._rested_at_by_host.get(host, now)
+        return now < rested_at + _WAITING_REST_S
+
     def _rest(self, host: str, answer: GrantAnswer, now: float) -> None:
         rest = _NO_HOLDER_REST_S
         if answer.holds and self.limits.rate > 0:
             rest = self.limits.burst / self.limits.rate / 2
             rest = min(max(rest, _SHORTEST_REST_S), _LONGEST_REST_S)
+            self._rested_at_by_host[host] = now
         self._rest_until_by_host[host] = now + rest
 
     def _expire_asks(self, now: float) -> None:
--- a/packages/decisions/src/dragonflyknot/decisions/buckets.py
+++ b/packages/decisions/src/dragonflyknot/decisions/buckets.py
@@ -53,6 +53,11 @@
         self._peaks = [float(0)] * _PEAK_SLOTS
         self._peak_slot = int(starts_at / _PEAK_SLOT_S)
 
+    def blocked_within(self, horizon_s: float) -> bool:
+        """Tell whether lent tokens may stop the minting in `horizon_s`."""
+        room = self.burst - self.level - self.lent
+        return room < self.rate * horizon_s
+
     def refill(self, now: float) -> None:
         """Mint what is due and drop expired loans, in order of time."""
         if now <= self._updated_at:
--- a/packages/decisions/src/dragonflyknot/decisions/grants.py
+++ b/packages/decisions/src/dragonflyknot/decisions/grants.py
@@ -7,7 +7,7 @@
 what is left of earlier grants, and what the edge gives up unspent.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 EDGE_VALIDITY_S = 1.0
@@ -41,13 +41,16 @@
 class GrantAnswer:
     """Grant `amount` tokens, 0 if there are none.
 
-    `holds` is false if the daemon holds no shard at present.
+    `holds` is false if the daemon holds no shard at present. `full` says
+    that lent tokens keep the lender from minting, so that an early
+    settlement is worth a message.
     """
 
     grant_id: str
     workspace: str
     amount: float
     holds: bool = True
+    full: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,9 +87,13 @@
 
 @dataclass(slots=True)
 class Holdings:
-    """Keep the grants of one workspace at an edge, oldest first."""
+    """Keep the grants of one workspace at an edge, oldest first.
+
+    Grants that are spent stay in `spent_by_id` until their lender was told.
+    """
 
     grants_by_id: dict[str, HeldGrant] = field(default_factory=dict)
+    spent_by_id: dict[str, HeldGrant] = field(default_factory=dict)
 
     def total(self, now: float) -> float:
         """Return the tokens that may be spent at `now`."""
@@ -97,24 +104,38 @@
         """Add a grant that the caller knows to be new."""
         self.grants_by_id[grant.grant_id] = grant
 
+    def take_one(self, now: float) -> SpentPart | None:
+        """Spend a whole token of the oldest grant if it has one."""
+        for grant in self.grants_by_id.values():
+            if grant.left < 1 or grant.expires_at <= now:
+                return None
+            grant.left -= 1
+            if grant.left <= 0:
+                self._move_spent(grant)
+            return SpentPart(grant.grant_id, 0, 1)
+        return None
+
     def take(self, amount: float, now: float) -> Iterator[SpentPart]:
         """Spend up to `amount` tokens, those that expire first before."""
         self._expire(now)
-        for grant in self.grants_by_id.values():
+        for grant in tuple(self.grants_by_id.values()):
             taken = min(amount, grant.left)
-            if taken > 0:
-                grant.left -= taken
-                amount -= taken
-                yield SpentPart(grant.grant_id, 0, taken)
+            grant.left -= taken
+            amount -= taken
+            yield SpentPart(grant.grant_id, 0, taken)
+            if grant.left <= 0:
+                self._move_spent(grant)
             if amount <= 0:
                 return
 
     def give_back(self, part: SpentPart, now: float) -> None:
         """Restore a part if its lender still counts it as unspent."""
         grant = self.grants_by_id.get(part.grant_id)
-        if grant is None or grant.expires_at <= now:
-            return
-        grant.left = min(grant.left + part.amount, grant.reported)
+        if grant is None:
+            grant = self.spent_by_id.pop(part.grant_id, None)
+        if grant is not None and now < grant.expires_at:
+            grant.left = min(grant.left + part.amount, grant.reported)
+            self.grants_by_id[grant.grant_id] = grant
 
     def settle(
         self, lender: str, surplus: float, now: float
@@ -125,32 +146,43 @@
         """
         self._expire(now)
         settlements: list[Settlement] = []
-        for grant in tuple(self.grants_by_id.values()):
+        for grant in (*self.spent_by_id.values(), *self.grants_by_id.values()):
             if grant.lender == lender:
                 returned = min(grant.left, max(0, surplus))
                 surplus -= returned
-                settlements.extend(self._settle_grant(grant, returned))
+                settlements.extend(_settle_grant(grant, returned))
+        for grants in (self.spent_by_id, self.grants_by_id):
+            _drop(
+                grants,
+                lambda grant: grant.lender == lender and grant.left <= 0,
+            )
         return tuple(settlements)
 
     def lenders(self) -> frozenset[str]:
         """Return the hosts whose grants are held or not yet settled."""
-        return frozenset(grant.lender for grant in self.grants_by_id.values())
-
-    def _settle_grant(
-        self, grant: HeldGrant, returned: float
-    ) -> Iterator[Settlement]:
-        grant.left -= returned
-        if grant.left < grant.reported:
-            grant.reported = grant.left
-            yield Settlement(grant.grant_id, grant.left, returned)
-        if grant.left <= 0:
-            self.grants_by_id.pop(grant.grant_id)
+        grants = (*self.spent_by_id.values(), *self.grants_by_id.values())
+        return frozenset(grant.lender for grant in grants)
+
+    def _move_spent(self, grant: HeldGrant) -> None:
+        self.grants_by_id.pop(grant.grant_id)
+        self.spent_by_id[grant.grant_id] = grant
 
     def _expire(self, now: float) -> None:
-        expired = [
-            grant.grant_id
-            for grant in self.grants_by_id.values()
-            if grant.expires_at <= now
-        ]
-        for grant_id in expired:
-            self.grants_by_id.pop(grant_id)
+        for grants in (self.spent_by_id, self.grants_by_id):
+            _drop(grants, lambda grant: grant.expires_at <= now)
+
+
+def _settle_grant(grant: HeldGrant, returned: float) -> Iterator[Settlement]:
+    grant.left -= returned
+    if grant.left < grant.reported:
+        grant.reported = grant.left
+        yield Settlement(grant.grant_id, grant.left, returned)
+
+
+def _drop(
+    grants_by_id: dict[str, HeldGrant], ended: Callable[[HeldGrant], bool]
+) -> None:
+    for grant_id in [
+        grant.grant_id for grant in grants_by_id.values() if ended(grant)
+    ]:
+        grants_by_id.pop(grant_id)
--- a/packages/decisions/src/dragonflyknot/decisions/quota.py
+++ b/packages/decisions/src/dragonflyknot/decisions/quota.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
+from math import ceil
 
 from dragonflyknot.decisions.accounts import Account, OpenAsk, Waiter
 from dragonflyknot.decisions.buckets import LENDER_VALIDITY_S, Bucket
@@ -43,6 +44,8 @@
 IDLE_TICK_S = 0.5
 
 _UNKNOWN_RETRY_S = 1.0
+_SMALLEST_ASK = 4.0
+_NEAR_LOAD = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +184,7 @@
     def _lend(self, request: GrantRequest, now: float) -> GrantAnswer:
         account = self._account(request.workspace, now)
         amount = float(0)
+        full = False
         usable = now < self._usable_until and bool(self._starts_at_by_shard)
         if account is not None and usable:
             for settlement in request.settlements:
@@ -192,7 +196,10 @@
                         now,
                     )
             amount = account.lend(request.grant_id, request.amount, now)
-        return GrantAnswer(request.grant_id, request.workspace, amount, usable)
+            full = account.blocked_within(self._settings.settle_s)
+        return GrantAnswer(
+            request.grant_id, request.workspace, amount, usable, full
+        )
 
     def _for_account(
         self, workspace: str, now: float, update: Callable[[Account], None]
@@ -227,16 +234,43 @@
         missing = self._missing(account, now)
         if missing <= 0:
             return
-        limits = account.limits
-        for holder in self._holders:
-            if missing <= 0:
-                return
-            if account.askable(holder.host, now):
-                share = limits.burst * holder.shards / self._settings.shards
-                amount = min(missing, share)
+        for holders in self._rings(account):
+            askable = [
+                holder
+                for holder in holders
+                if account.askable(holder.host, now)
+            ]
+            # Holders that were not asked for longest are the fullest.
+            askable.sort(
+                key=lambda holder: account.told_at_by_host.get(holder.host, 0)
+            )
+            for count, holder in enumerate(askable):
+                if missing <= 0:
+                    return
+                even = missing / (len(askable) - count)
+                amount = min(
+                    max(ceil(even), _SMALLEST_ASK),
+                    ceil(missing),
+                    self._share(account, holder),
+                )
                 missing -= amount
                 yield self._ask_holder(account, holder.host, amount, now)
 
+    def _rings(self, account: Account) -> tuple[tuple[Holder, ...], ...]:
+        """Return the groups of holders to ask, one after the other."""
+        near = tuple(
+            holder for holder in self._holders if holder.region == self._region
+        )
+        far = self._holders[len(near) :]
+        shards = sum(holder.shards for holder in near)
+        near_rate = account.limits.rate * shards / self._settings.shards
+        if account.demand > near_rate * _NEAR_LOAD:
+            return (self._holders,)
+        return (near, far)
+
+    def _share(self, account: Account, holder: Holder) -> float:
+        return account.limits.burst * holder.shards / self._settings.shards
+
     def _missing(self, account: Account, now: float) -> float:
         usable = now < self._usable_until
         horizon_s = self._settings.horizon_s
@@ -267,7 +301,8 @@
         settings = self._settings
         for host in sorted(account.holdings.lenders()):
             told_at = account.told_at_by_host.get(host, 0)
-            if now - told_at < settings.settle_s:
+            eager = account.settles_eagerly(host)
+            if not eager and now - told_at < settings.settle_s:
                 continue
             ahead = account.demand * settings.horizon_s * 2
             surplus = account.holdings.total(now) - ahead
--- /dev/null
+++ b/tests/unit/test_quota.py
@@ -0,0 +1,304 @@
+"""Check the exchange of tokens between edges and holders."""
+
+from dataclasses import dataclass, field
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dragonflyknot.decisions.document import (
+    OPEN_WORKSPACE,
+    Configuration,
+    Workspace,
+)
+from dragonflyknot.decisions.grants import GrantAnswer, GrantRequest, Spent
+from dragonflyknot.decisions.quota import Quota, QuotaSettings
+from dragonflyknot.decisions.ratemessages import (
+    Admit,
+    AnswerGrant,
+    AskGrant,
+    ConfigurationInstalled,
+    GiveBack,
+    GrantAnswered,
+    GrantAsked,
+    Holder,
+    HoldersChanged,
+    LeaseExtended,
+    RateCommand,
+    RateEvent,
+    RefuseRate,
+    ShardGained,
+    ShardLost,
+    Spend,
+    Ticked,
+)
+from experiments.ratefleet import window_overrun
+
+WORKSPACE = 'acme'
+RATE = 4.0
+BURST = 4.0
+TOLERANCE = 1e-6
+FOREVER_S = 1e9
+
+
+def configuration(rate: float = RATE, burst: float = BURST) -> Configuration:
+    return Configuration(
+        workspaces_by_name={WORKSPACE: Workspace(WORKSPACE, rate, burst)},
+        open_rate=rate,
+        open_burst=burst,
+    )
+
+
+@dataclass
+class Message:
+    """Hold a message that the network may deliver at any time, or twice."""
+
+    to: str
+    event: RateEvent
+
+
+@dataclass
+class Network:
+    """Join a few quotas; nothing moves unless a test says so."""
+
+    shards: int
+    now: float = 10
+    quotas: dict[str, Quota] = field(default_factory=dict)
+    offsets: dict[str, float] = field(default_factory=dict)
+    messages: list[Message] = field(default_factory=list)
+    admitted: list[tuple[float, str, Spent]] = field(default_factory=list)
+    refused: list[str] = field(default_factory=list)
+    serial: int = 0
+
+    def add(self, host: str, offset_s: float = 0) -> None:
+        settings_ = QuotaSettings(shards=self.shards)
+        self.quotas[host] = Quota(host, 1, host, 'r', settings_)
+        self.offsets[host] = offset_s
+        self.feed(host, ConfigurationInstalled(configuration()))
+
+    def hold(self, host: str, shard: int) -> None:
+        self.feed(host, ShardGained(shard))
+        self.feed(host, LeaseExtended(FOREVER_S))
+
+    def tell_holders(self, *hosts: str) -> None:
+        holders = tuple(Holder(host, host, 'r') for host in hosts)
+        for host in self.quotas:
+            self.feed(host, HoldersChanged(holders))
+
+    def feed(self, host: str, event: RateEvent) -> None:
+        now = self.now + self.offsets[host]
+        for command in self.quotas[host].handle(event, now):
+            self.carry_out(host, command)
+
+    def carry_out(self, host: str, command: RateCommand) -> None:
+        match command:
+            case Admit(_, spent):
+                self.admitted.append((self.now, host, spent))
+            case RefuseRate(request_id):
+                self.refused.append(request_id)
+            case AskGrant(holder, request):
+                self.messages.append(Message(holder, GrantAsked(request)))
+            case AnswerGrant(answer):
+                edge = answer.grant_id.split('/')[0]
+                self.messages.append(Message(edge, GrantAnswered(answer)))
+
+    def spend(self, host: str, workspace: str = WORKSPACE) -> None:
+        self.serial += 1
+        deadline = self.now + self.offsets[host] + 1
+        self.feed(host, Spend(f'q{self.serial}', workspace, deadline))
+
+    def deliver(self, index: int, again: bool = False) -> None:
+        message = self.messages[index]
+        if not again:
+            self.messages.pop(index)
+        self.feed(message.to, message.event)
+
+    def deliver_all(self) -> None:
+        while self.messages:
+            self.deliver(0)
+
+    def pass_time(self, elapsed_s: float) -> None:
+        self.now += elapsed_s
+        for host in self.quotas:
+            self.feed(host, Ticked())
+
+    def give_back(self, index: int) -> None:
+        _, host, spent = self.admitted.pop(index)
+        self.feed(host, GiveBack(spent))
+
+    def lent(self) -> float:
+        return sum(
+            bucket.lent
+            for quota in self.quotas.values()
+            for account in quota.accounts_by_workspace.values()
+            for bucket in account.buckets_by_shard.values()
+        )
+
+    def overrun(self) -> float:
+        return window_overrun([at for at, _, _ in self.admitted], RATE, BURST)
+
+
+def network(shards: int = 2) -> Network:
+    """Make two holders and an edge with full buckets."""
+    joined = Network(shards)
+    joined.add('a', 5)
+    joined.add('b', 500)
+    joined.add('c', 50)
+    joined.hold('a', 0)
+    joined.hold('b', 1)
+    joined.tell_holders('a', 'b')
+    joined.pass_time(10)
+    return joined
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(
+            (
+                'spend',
+                'spend',
+                'spend',
+                'deliver',
+                'deliver',
+                'deliver',
+                'double',
+                'lose',
+                'pass',
+                'pass',
+                'give-back',
+                'hand-over',
+            )
+        ),
+        st.integers(0, 1000),
+        st.floats(0.001, 0.6),
+    ),
+    min_size=40,
+    max_size=150,
+)
+
+
+class QuotaTest(testtools.TestCase):
+    """Move tokens between daemons without making any."""
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
+    @given(script=steps)
+    def test_bound_holds_whatever_the_network_does(
+        self, script: list[tuple[str, int, float]]
+    ) -> None:
+        joined = network()
+        hosts = ('a', 'b', 'c')
+        held_by = {0: 'a', 1: 'b'}
+        for kind, pick, duration in script:
+            match kind:
+                case 'spend':
+                    joined.spend(hosts[pick % 3])
+                case 'pass':
+                    joined.pass_time(duration)
+                case 'give-back' if joined.admitted:
+                    joined.give_back(pick % len(joined.admitted))
+                case 'hand-over':
+                    shard = pick % 2
+                    joined.feed(held_by[shard], ShardLost(shard))
+                    held_by[shard] = hosts[pick % 3]
+                    joined.hold(held_by[shard], shard)
+                    joined.tell_holders(*sorted(set(held_by.values())))
+                case 'deliver' if joined.messages:
+                    joined.deliver(pick % len(joined.messages))
+                case 'double' if joined.messages:
+                    joined.deliver(pick % len(joined.messages), again=True)
+                case 'lose' if joined.messages:
+                    joined.messages.pop(pick % len(joined.messages))
+            self.assertLessEqual(joined.overrun(), TOLERANCE)
+
+    def test_an_edge_without_shards_waits_for_a_grant(self) -> None:
+        joined = network()
+        joined.spend('c')
+        self.assertEqual([], joined.admitted)
+        joined.deliver_all()
+        self.assertEqual(1, len(joined.admitted))
+
+    def test_a_token_at_hand_is_spent_at_once(self) -> None:
+        joined = network()
+        spent = joined.quotas['a'].spend(WORKSPACE, joined.now + 5)
+        self.assertIsNotNone(spent)
+
+    def test_a_request_is_refused_after_a_short_wait(self) -> None:
+        joined = network()
+        joined.spend('c')
+        joined.messages.clear()
+        joined.pass_time(0.07)
+        self.assertEqual(['q1'], joined.refused)
+
+    def test_a_late_grant_is_not_spent(self) -> None:
+        joined = network()
+        joined.spend('c')
+        joined.deliver(0)
+        late = joined.messages[-1]
+        joined.messages.clear()
+        joined.pass_time(1.01)
+        joined.spend('c')
+        joined.feed('c', late.event)
+        self.assertIsInstance(late.event, GrantAnswered)
+        self.assertEqual([], joined.admitted)
+
+    def test_a_doubled_answer_is_credited_once(self) -> None:
+        joined = network()
+        for _ in range(3):
+            joined.spend('c')
+        joined.deliver(0)
+        for message in tuple(joined.messages):
+            if isinstance(message.event, GrantAnswered):
+                joined.feed('c', message.event)
+                joined.feed('c', message.event)
+        account = joined.quotas['c'].accounts_by_workspace[WORKSPACE]
+        held = account.holdings.total(joined.now + 50)
+        self.assertLessEqual(len(joined.admitted) + held, BURST / 2)
+
+    def test_an_edge_reports_the_tokens_that_it_spent(self) -> None:
+        joined = network()
+        joined.spend('c')
+        joined.deliver_all()
+        lent = joined.lent()
+        joined.pass_time(0.3)
+        joined.deliver_all()
+        self.assertEqual(lent - 1, joined.lent())
+
+    def test_nothing_is_spent_once_the_lease_has_lapsed(self) -> None:
+        joined = network()
+        for host in ('a', 'b'):
+            joined.feed(host, LeaseExtended(joined.now))
+        joined.spend('a')
+        joined.spend('c')
+        joined.deliver_all()
+        self.assertEqual([], joined.admitted)
+
+    def test_a_daemon_without_shards_says_so(self) -> None:
+        joined = network()
+        ask = GrantRequest('x/1', WORKSPACE, 2)
+        joined.feed('c', GrantAsked(ask))
+        expected = GrantAnswer('x/1', WORKSPACE, 0, holds=False)
+        self.assertEqual(GrantAnswered(expected), joined.messages[-1].event)
+
+    def test_open_routes_have_a_rate_of_their_own(self) -> None:
+        joined = network()
+        for _ in range(8):
+            joined.spend('a', OPEN_WORKSPACE)
+            joined.spend('b')
+            joined.deliver_all()
+        workspaces = [spent.workspace for _, _, spent in joined.admitted]
+        self.assertEqual(BURST, workspaces.count(OPEN_WORKSPACE))
+        self.assertEqual(BURST, workspaces.count(WORKSPACE))
+
+    def test_an_unknown_workspace_is_refused(self) -> None:
+        joined = network()
+        joined.spend('a', 'nobody')
+        self.assertEqual(['q1'], joined.refused)
+
+    def test_a_workspace_added_again_starts_empty(self) -> None:
+        joined = network()
+        joined.spend('a')
+        empty = Configuration(workspaces_by_name={})
+        joined.feed('a', ConfigurationInstalled(empty))
+        joined.feed('a', ConfigurationInstalled(configuration()))
+        spent = joined.quotas['a'].spend(WORKSPACE, joined.now + 5)
+        self.assertIsNone(spent)
