--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from dragonflyknot.callers import ports
+from dragonflyknot.callers.watch import Watch
 from dragonflyknot.decisions import headers as names
 from dragonflyknot.decisions import ledger, retry, routing
 from dragonflyknot.decisions.calls import (
@@ -46,6 +47,7 @@
     excluded: set[str] = field(default_factory=set)
     attempts: int = 0
     may_have_run: bool = False
+    answer_bytes: int = 0
 
 
 class Attempts:
@@ -77,6 +79,7 @@
             _is_large(run),
             now,
             self._ports.rng,
+            run.call.workspace,
         )
         match choice:
             case routing.NoTarget(refusal, retry_after_s):
@@ -98,7 +101,11 @@
             call=replace(run.call, retries=handed),
         )
         sent = routing.AttemptSent(
-            target.host, attempt.attempt_id, run.outgoing.body.length or 0
+            target.host,
+            attempt.attempt_id,
+            run.outgoing.body.length or 0,
+            run.call.workspace,
+            run.call.priority,
         )
         self._ports.router.handle(sent, time.monotonic())
         kind, report = routing.Ending.CANCELLED, None
@@ -111,7 +118,11 @@
             return self._broken(run, broken)
         finally:
             ended = routing.AttemptEnded(
-                target.host, attempt.attempt_id, kind, report
+                target.host,
+                attempt.attempt_id,
+                kind,
+                report,
+                run.answer_bytes,
             )
             self._ports.router.handle(ended, time.monotonic())
 
@@ -119,11 +130,15 @@
         self, run: CallRun, attempt: Attempt
     ) -> sending.Received:
         left_s = run.call.deadline - time.monotonic()
+        sender = self._ports.sender
+        scope = asyncio.timeout(max(left_s, 0))
+        watch = Watch(sender, attempt, scope)
         try:
-            async with asyncio.timeout(max(left_s, 0)):
-                return await self._ports.sender.send(attempt, run.outgoing)
+            async with scope:
+                with watch:
+                    return await sender.send(attempt, run.outgoing)
         except TimeoutError:
-            return sending.Lost(was_sent=True)
+            return sending.Lost(was_sent=True, resolved=watch.resolved)
 
     async def _finish(
         self,
@@ -145,15 +160,20 @@
                 run.pool.take_back(handed, handed)
                 run.excluded.add(attempt.host)
                 return Refused(Refusal.NO_UPSTREAM)
-            case sending.Lost():
+            case sending.Lost(resolved=resolved):
                 run.excluded.add(attempt.host)
-                return await self._resolve(run, attempt, handed)
+                return await self._resolve(run, attempt, handed, resolved)
 
     async def _resolve(
-        self, run: CallRun, attempt: Attempt, handed: int
+        self,
+        run: CallRun,
+        attempt: Attempt,
+        handed: int,
+        known: ledger.Resolved | None,
     ) -> Refused:
         self._ports.tally.resolves += 1
-        refused = await self._ports.sender.resolve(attempt)
+        resolved = known or await self._ports.sender.resolve(attempt)
+        refused = _lost_refusal(resolved)
         if refused.known_outcome is Outcome.NOT_RUN:
             # An attempt that never ran cannot have spent its part.
             run.pool.take_back(handed, handed)
@@ -174,7 +194,9 @@
         )
         run.may_have_run = True
         response = await relay(received.answer, run.request, head)
-        self._ports.budget.succeeded(time.monotonic())
+        run.answer_bytes = received.answer.content.total_bytes
+        if received.answer.status < _SERVER_ERROR:
+            self._ports.budget.succeeded(time.monotonic(), run.call.workspace)
         return response
 
     def _broken(self, run: CallRun, broken: BrokenAnswer) -> Refused:
@@ -191,11 +213,16 @@
         if refused.is_final or not run.outgoing.body.can_be_sent:
             return False
         now = time.monotonic()
-        if now >= run.call.deadline or not self._ports.budget.may_retry(now):
+        if now >= run.call.deadline:
             return False
-        if not run.pool.spend():
+        return self._pay_retry(run, now)
+
+    def _pay_retry(self, run: CallRun, now: float) -> bool:
+        budget = self._ports.budget
+        workspace = run.call.workspace
+        if not budget.may_retry(now, workspace) or not run.pool.spend():
             return False
-        self._ports.budget.retried(now)
+        budget.retried(now, workspace)
         return True
 
 
@@ -212,19 +239,39 @@
 def _ending(received: sending.Received) -> routing.Ending:
     match received:
         case sending.Answered(answer):
-            if answer.status >= _SERVER_ERROR:
-                return routing.Ending.FAILED
-            return routing.Ending.DONE
-        case sending.Rejected(refused):
-            if refused.known_outcome is Outcome.NOT_RUN:
-                return routing.Ending.REFUSED
+            if answer.status < _SERVER_ERROR:
+                return routing.Ending.DONE
+            if names.HOP_DEEPER_FAILED in answer.headers:
+                return routing.Ending.DEEPER
             return routing.Ending.FAILED
+        case sending.Rejected(refused):
+            return _ending_of_refusal(refused)
         case sending.Lost(was_sent=True):
             return routing.Ending.SILENT
         case sending.Lost():
             return routing.Ending.UNREACHABLE
 
 
+def _ending_of_refusal(refused: Refused) -> routing.Ending:
+    if refused.known_outcome is Outcome.NOT_RUN:
+        return routing.Ending.REFUSED
+    if refused.is_final:
+        return routing.Ending.DEEPER
+    return routing.Ending.FAILED
+
+
+def _lost_refusal(resolved: ledger.Resolved) -> Refused:
+    match resolved:
+        case ledger.ResolvedNever():
+            return Refused(Refusal.NO_UPSTREAM, outcome=Outcome.NOT_RUN)
+        case ledger.ResolvedFinished():
+            return Refused(Refusal.UPSTREAM_BROKE, outcome=Outcome.RAN)
+        case ledger.ResolvedQueued() | ledger.ResolvedRunning():
+            return Refused(Refusal.UPSTREAM_SILENT)
+        case ledger.ResolvedUnknown():
+            return Refused(Refusal.UPSTREAM_BROKE)
+
+
 def _report(received: sending.Received) -> LoadReport | None:
     match received:
         case sending.Answered() | sending.Rejected():
--- a/packages/callers/src/dragonflyknot/callers/edge.py
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -6,6 +6,7 @@
 run the same way, with a claim where the route runs at most once.
 """
 
+import asyncio
 import time
 import uuid
 from dataclasses import dataclass
@@ -20,6 +21,7 @@
 from dragonflyknot.decisions.calls import Call, Outcome
 from dragonflyknot.decisions.chains import RunningCall
 from dragonflyknot.decisions.document import OPEN_WORKSPACE, Route
+from dragonflyknot.decisions.grants import Spent
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.retry import RetryPool, spread_retry_after_s
 from dragonflyknot.exchange import sending
@@ -32,6 +34,7 @@
 TICKETS_PATH = '/.dragonflyknot/tickets'
 RETRY_AFTER_S = 1.0
 RETURN_MARGIN_S = 0.002
+_SERVER_ERROR = 500
 
 _NO_HEADERS = MappingProxyType[str, str]({})
 _CLOSING = MappingProxyType({'Connection': 'close'})
@@ -45,7 +48,15 @@
     call: Call
     route: Route
     pool: RetryPool
-    has_token: bool
+    spent: Spent | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """Hold a request that did not pass its checks."""
+
+    refused: Refused
+    workspace: str = ''
 
 
 class Edge:
@@ -83,39 +94,48 @@
             refused = Refused(Refusal.CHAIN_UNKNOWN)
             return self._refusal(refused, '', request_id, request)
         parent.deeper_started(time.monotonic())
-        is_refused = True
+        is_failed = True
         try:
             response = await self._serve(
                 request, request_id, self._inherit(request, parent, request_id)
             )
-            is_refused = names.OUTCOME in response.headers
+            is_failed = _has_failed(response)
             return response
         finally:
-            parent.deeper_ended(time.monotonic(), refused=is_refused)
+            parent.deeper_ended(time.monotonic(), failed=is_failed)
 
     async def _admit(
         self, request: web.BaseRequest, request_id: str
-    ) -> Admitted | Refused:
+    ) -> Admitted | Denied:
         now = time.monotonic()
         if self.is_draining:
-            return Refused(Refusal.DRAINING, RETRY_AFTER_S)
+            return Denied(Refused(Refusal.DRAINING, RETRY_AFTER_S))
         policy = self._ports.policies.current()
         if policy is None:
-            return Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+            return Denied(Refused(Refusal.NOT_READY, RETRY_AFTER_S))
         route = policy.routes.find(request.method, request.path)
         if route is None:
-            return Refused(Refusal.NO_ROUTE)
+            return Denied(Refused(Refusal.NO_ROUTE))
         workspace = self._workspace(request, route, now)
         if isinstance(workspace, Refusal):
-            return Refused(workspace, _delay(workspace))
+            return Denied(Refused(workspace, _delay(workspace)))
         deadline = credentials.deadline_of(request, route.timeout_ms, now)
         if isinstance(deadline, Refusal):
-            return Refused(deadline)
-        wait_s = await self._ports.rates.spend(workspace, request_id, deadline)
-        if wait_s is not None:
-            self._ports.tally.refused(workspace, Refusal.RATE)
-            return Refused(Refusal.RATE, wait_s)
-        return self._first_hop(route, workspace, request_id, deadline)
+            return Denied(Refused(deadline), workspace)
+        call = _first_call(route, workspace, request_id, deadline)
+        return await self._spend(route, call)
+
+    async def _spend(self, route: Route, call: Call) -> Admitted | Denied:
+        spent = await self._ports.rates.spend(
+            call.workspace, call.request_id, call.deadline
+        )
+        match spent:
+            case ports.RateRefused(retry_after_s):
+                refused = Refused(Refusal.RATE, retry_after_s)
+                return Denied(refused, call.workspace)
+            case Spent():
+                pool = RetryPool(route.retries)
+                return Admitted(call, route, pool, spent)
 
     def _workspace(
         self, request: web.BaseRequest, route: Route, now: float
@@ -124,35 +144,22 @@
             return OPEN_WORKSPACE
         return credentials.workspace_of(request, self._ports.keyring, now)
 
-    def _first_hop(
-        self, route: Route, workspace: str, request_id: str, deadline: float
-    ) -> Admitted:
-        call = Call(
-            request_id=request_id,
-            chain_id=request_id,
-            workspace=workspace,
-            service=route.service,
-            priority=route.priority,
-            deadline=deadline,
-            once=route.once,
-            idempotent=route.idempotent,
-        )
-        return Admitted(call, route, RetryPool(route.retries), has_token=True)
-
     def _inherit(
         self, request: web.BaseRequest, parent: RunningCall, request_id: str
-    ) -> Admitted | Refused:
+    ) -> Admitted | Denied:
+        workspace = parent.call.workspace
         policy = self._ports.policies.current()
         if policy is None:
-            return Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+            refused = Refused(Refusal.NOT_READY, RETRY_AFTER_S)
+            return Denied(refused, workspace)
         route = policy.routes.find(request.method, request.path)
         if route is None or parent.call.depth + 1 >= MAX_DEPTH:
-            return Refused(Refusal.NO_ROUTE)
+            return Denied(Refused(Refusal.NO_ROUTE), workspace)
         deadline = credentials.deadline_of(
             request, route.timeout_ms, time.monotonic()
         )
         if isinstance(deadline, Refusal):
-            return Refused(deadline)
+            return Denied(Refused(deadline), workspace)
         call = Call(
             request_id=request_id,
             chain_id=parent.call.chain_id,
@@ -164,36 +171,37 @@
             once=route.once,
             idempotent=route.idempotent,
         )
-        return Admitted(call, route, parent.pool, has_token=False)
+        return Admitted(call, route, parent.pool)
 
     async def _serve(
         self,
         request: web.BaseRequest,
         request_id: str,
-        admitted: Admitted | Refused,
+        admitted: Admitted | Denied,
     ) -> web.StreamResponse:
         match admitted:
-            case Refused():
-                return self._refusal(admitted, '', request_id, request)
+            case Denied(refused, workspace):
+                return self._refusal(refused, workspace, request_id, request)
             case Admitted():
                 return await self._run_counted(request, admitted)
 
     async def _run_counted(
         self, request: web.BaseRequest, admitted: Admitted
     ) -> web.StreamResponse:
-        workspace = admitted.call.workspace
-        if admitted.has_token:
-            self._ports.tally.admitted_by_workspace[workspace] += 1
+        call = admitted.call
+        if admitted.spent is not None:
+            self._ports.tally.admitted_by_workspace[call.workspace] += 1
         ending = await self._run(request, admitted)
         if isinstance(ending, web.StreamResponse):
-            self._ports.tally.answered_by_workspace[workspace] += 1
+            self._ports.tally.answered_by_workspace[call.workspace] += 1
             return ending
-        if admitted.has_token and ending.known_outcome is Outcome.NOT_RUN:
-            self._ports.rates.give_back(workspace)
-        self._ports.tally.refused(workspace, ending.refusal)
-        return self._refusal(
-            ending, workspace, admitted.call.request_id, request
-        )
+        if admitted.spent is not None:
+            self._give_back(admitted.spent, ending)
+        return self._refusal(ending, call.workspace, call.request_id, request)
+
+    def _give_back(self, spent: Spent, refused: Refused) -> None:
+        if refused.known_outcome is Outcome.NOT_RUN:
+            self._ports.rates.give_back(spent)
 
     async def _run(
         self, request: web.BaseRequest, admitted: Admitted
@@ -219,17 +227,19 @@
     async def _send(
         self, request: web.BaseRequest, admitted: Admitted
     ) -> Ending:
-        run = CallRun(
-            call=admitted.call,
-            request=request,
-            outgoing=sending.Outgoing(
-                method=request.method,
-                path=request.raw_path,
-                head=request_head(request.headers),
-                body=await read_body(request),
-            ),
-            pool=admitted.pool,
+        left_s = admitted.call.deadline - time.monotonic()
+        try:
+            async with asyncio.timeout(max(left_s, 0)):
+                body = await read_body(request)
+        except TimeoutError:
+            return Refused(Refusal.NO_TIME, RETRY_AFTER_S)
+        outgoing = sending.Outgoing(
+            method=request.method,
+            path=request.raw_path,
+            head=request_head(request.headers),
+            body=body,
         )
+        run = CallRun(admitted.call, request, outgoing, admitted.pool)
         try:
             return await self._attempts.run(run)
         except BrokenAnswer:
@@ -250,7 +260,8 @@
                 spread_retry_after_s(refused.retry_after_s, self._ports.rng),
                 refused.outcome,
             )
-        _log.info(
+        self._ports.tally.refused(workspace, refused.refusal)
+        _log.debug(
             'refused',
             kind=refused.refusal.value,
             outcome=refused.known_outcome.value,
@@ -279,6 +290,25 @@
         return web.json_response({'idempotency_key': ticket})
 
 
+def _first_call(
+    route: Route, workspace: str, request_id: str, deadline: float
+) -> Call:
+    return Call(
+        request_id=request_id,
+        chain_id=request_id,
+        workspace=workspace,
+        service=route.service,
+        priority=route.priority,
+        deadline=deadline,
+        once=route.once,
+        idempotent=route.idempotent,
+    )
+
+
+def _has_failed(response: web.StreamResponse) -> bool:
+    return names.OUTCOME in response.headers or response.status >= _SERVER_ERROR
+
+
 def _may_have_run(ending: Ending) -> bool:
     match ending:
         case Refused():
--- a/packages/decisions/src/dragonflyknot/decisions/admission.py
+++ b/packages/decisions/src/dragonflyknot/decisions/admission.py
@@ -208,14 +208,16 @@
         least_s = self._concurrency.least_s(event.priority, now)
         if now + least_s + self._wait_s(event.priority) > event.deadline:
             return (self._refuse(attempt_id, Refusal.NO_TIME),)
-        if self._has_slot() and not self._queue:
+        if self._has_slot():
             self._start(attempt_id, event.workspace, event.priority)
             return (Start(attempt_id),)
         self._enqueue(event, event.deadline - least_s, now)
-        return self._shed() + self._fill(now)
+        return self._shed()
 
     def _enqueue(self, event: Arrived, latest_start: float, now: float) -> None:
-        expires_at = min(latest_start, now + self._service.queue_wait_ms / 1000)
+        steps = event.priority - LOWEST_PRIORITY + 1
+        wait_s = steps * self._service.queue_wait_ms / 1000
+        expires_at = min(latest_start, now + wait_s)
         self._queue.push(
             Waiter(
                 event.attempt_id,
@@ -284,6 +286,7 @@
             waiter = self._queue.remove(attempt_id)
             if waiter is not None:
                 commands.append(self._drop(waiter, now))
+                commands.extend(self._shed_below(waiter.priority))
         return tuple(commands)
 
     def _drop(self, waiter: Waiter, now: float) -> Refuse:
@@ -296,11 +299,23 @@
         if len(self._queue) <= self._service.queue_limit:
             return ()
         lowest = self._queue.lowest_priority() or LOWEST_PRIORITY
+        return self._shed_one(lowest)
+
+    def _shed_one(self, lowest: int) -> tuple[Command, ...]:
         waiter = self._queue.shed(self._cost_s(lowest))
         if waiter is None:
             return ()
         return (self._refuse(waiter.attempt_id, Refusal.SHED),)
 
+    def _shed_below(self, priority: int) -> list[Command]:
+        """Shed what is less important than a waiter that was dropped."""
+        commands: list[Command] = []
+        while (lowest := self._queue.lowest_priority()) is not None:
+            if lowest >= priority:
+                break
+            commands.extend(self._shed_one(lowest))
+        return commands
+
     def _refuse_all(self, refusal: Refusal) -> tuple[Command, ...]:
         commands: list[Command] = []
         while (waiter := self._queue.pop()) is not None:
--- a/packages/decisions/src/dragonflyknot/decisions/routing.py
+++ b/packages/decisions/src/dragonflyknot/decisions/routing.py
@@ -7,13 +7,15 @@
 What a target is known to be stands in `targets.py`.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from dragonflyknot.decisions.calls import LoadReport, UpstreamState
+from dragonflyknot.decisions.document import LOWEST_PRIORITY, OPEN_WORKSPACE
 from dragonflyknot.decisions.randomness import Randomness
 from dragonflyknot.decisions.refusals import Refusal
-from dragonflyknot.decisions.targets import Distance, Ending, TargetState
+from dragonflyknot.decisions.targets import Claim, Distance, Ending, TargetState
 
 __all__ = (
     'AttemptEnded',
@@ -58,6 +60,8 @@
     host: str
     attempt_id: str
     body_bytes: int
+    workspace: str = OPEN_WORKSPACE
+    priority: int = LOWEST_PRIORITY
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +116,7 @@
     def __init__(self, host: str, data_center: str, region: str) -> None:
         """Start without targets at a known place."""
         self.host = host
-        self.link_bytes = 0
+        self.link_bytes_by_region: Counter[str] = Counter()
         self._data_center = data_center
         self._region = region
         self._targets_by_host: dict[str, TargetState] = {}
@@ -125,11 +129,8 @@
                 self._see(event, now)
             case TargetGone(host):
                 self._forget(host)
-            case AttemptSent(host, attempt_id, body_bytes):
-                target = self._targets_by_host.get(host)
-                if target is not None:
-                    target.attempt_ids.add(attempt_id)
-                    self._count_link(target, body_bytes)
+            case AttemptSent():
+                self._send(event)
             case AttemptEnded():
                 self._end(event, now)
 
@@ -141,6 +142,7 @@
         large: bool,
         now: float,
         rng: Randomness,
+        workspace: str = OPEN_WORKSPACE,
     ) -> Target | NoTarget:
         """Return the target of an attempt, or why there is none.
 
@@ -150,7 +152,8 @@
         group = self._groups_by_service.get(service)
         if group is None:
             return NoTarget(Refusal.NO_UPSTREAM, RETRY_AFTER_S)
-        choice = _Choice(group, priority, excluded, now, rng)
+        claim = Claim(workspace, priority)
+        choice = _Choice(group, claim, excluded, now, rng)
         target = choice.best(large)
         if target is None:
             return NoTarget(choice.refusal(), RETRY_AFTER_S)
@@ -158,10 +161,15 @@
             target.probed_at = now
         return Target(target.host, target.incarnation)
 
+    @property
+    def link_bytes(self) -> int:
+        """Return the body bytes exchanged with other regions."""
+        return self.link_bytes_by_region.total()
+
     def in_flight(self, host: str) -> int:
         """Return how many attempts of this daemon are at a host."""
         target = self._targets_by_host.get(host)
-        return len(target.attempt_ids) if target else 0
+        return target.in_flight if target else 0
 
     def targets(self) -> tuple[TargetState, ...]:
         """Return what is known, for the state dump."""
@@ -202,11 +210,22 @@
         if not group.targets():
             self._groups_by_service.pop(target.service)
 
+    def _send(self, event: AttemptSent) -> None:
+        target = self._targets_by_host.get(event.host)
+        if target is not None:
+            claim = Claim(event.workspace, event.priority)
+            target.claims_by_attempt[event.attempt_id] = claim
+            self._count_link(target, event.body_bytes)
+
     def _end(self, event: AttemptEnded, now: float) -> None:
         target = self._targets_by_host.get(event.host)
-        if target is None or event.attempt_id not in target.attempt_ids:
+        if target is None:
             return
-        target.attempt_ids.discard(event.attempt_id)
+        claim = target.claims_by_attempt.pop(event.attempt_id, None)
+        if claim is None:
+            return
+        if event.ending is Ending.REFUSED:
+            target.refused(claim, now)
         self._count_link(target, event.answer_bytes)
         if event.report is not None:
             target.learn(event.report, now)
@@ -220,7 +239,7 @@
 
     def _count_link(self, target: TargetState, count: int) -> None:
         if target.distance is Distance.FAR:
-            self.link_bytes += count
+            self.link_bytes_by_region[target.region] += count
 
     def _distance(self, data_center: str, region: str) -> Distance:
         if data_center == self._data_center:
@@ -233,7 +252,7 @@
     """Find the target of one attempt."""
 
     group: _Group
-    priority: int
+    claim: Claim
     excluded: frozenset[str]
     now: float
     rng: Randomness
@@ -246,7 +265,8 @@
             ((Distance.DATA_CENTER,), self._prompt),
             ((Distance.REGION,), self._prompt),
             *_far_order(large, far, near, self),
-            (tuple(Distance), self._last_resort),
+            (tuple(Distance), self._suspect),
+            (tuple(Distance), self._only_ejected),
         )
         for distances, test in tiers:
             pool = self._pool(distances)
@@ -258,7 +278,7 @@
     def is_invited(self, target: TargetState) -> bool:
         """Return whether the last report of the target admits the attempt."""
         report = target.report
-        return report is None or report.prompt <= self.priority
+        return report is None or report.prompt <= self.claim.priority
 
     def refusal(self) -> Refusal:
         """Return why no target was found."""
@@ -306,20 +326,39 @@
         return self.rng.random() < target.return_share(self.now)
 
     def _prompt(self, target: TargetState) -> bool:
-        return self._usable(target) and target.is_prompt(
-            self.priority, self.now
-        )
+        prompt = target.is_prompt(self.claim.priority, self.now)
+        refused = target.has_refused(self.claim, self.now)
+        return prompt and not refused and self._usable(target)
+
+    def _open(self, target: TargetState) -> bool:
+        """Accept a target that did not refuse the same lately."""
+        refused = target.has_refused(self.claim, self.now)
+        return not refused and self._admitting(target)
 
     def _admitting(self, target: TargetState) -> bool:
-        return self._usable(target) and target.admits(self.priority, self.now)
+        return self._usable(target) and target.admits(
+            self.claim.priority, self.now
+        )
 
-    def _last_resort(self, target: TargetState) -> bool:
+    def _only_ejected(self, target: TargetState) -> bool:
+        """Accept an ejected target once all others have left."""
+        return (
+            target.host not in self.excluded
+            and target.accepts()
+            and all(
+                one.ejected_until > self.now
+                for one in self.group.targets()
+                if one.accepts()
+            )
+        )
+
+    def _suspect(self, target: TargetState) -> bool:
         """Accept a suspect target, but never one that is ejected."""
         return (
             target.host not in self.excluded
             and target.accepts()
             and self.now >= target.ejected_until
-            and target.admits(self.priority, self.now)
+            and target.admits(self.claim.priority, self.now)
         )
 
 
@@ -330,9 +369,15 @@
     choice: _Choice,
 ) -> tuple[tuple[tuple[Distance, ...], _Test], ...]:
     prompt = (far, choice._prompt)
+    near_open = (near, choice._open)
+    rest = (
+        (far, choice._open),
+        (near, choice._admitting),
+        (far, choice._admitting),
+    )
     if large:
-        return ((near, choice._admitting), prompt, (far, choice._admitting))
-    return (prompt, (near, choice._admitting), (far, choice._admitting))
+        return (near_open, prompt, *rest)
+    return (prompt, near_open, *rest)
 
 
 def _is_replaced(known: TargetState, event: TargetSeen) -> bool:
