--- a/packages/decisions/src/dragonflyknot/decisions/accounts.py
+++ b/packages/decisions/src/dragonflyknot/decisions/accounts.py
@@ -85,14 +85,8 @@
     @property
     def idle(self) -> bool:
         """Tell whether nothing needs a tick."""
-        return not (
-            self.waiters
-            or self._asks_by_id
-            or self.holdings.grants_by_id
-            or self.holdings.spent_by_id
-            or self._arrived
-            or self.demand
-        )
+        quiet = not (self._arrived or self.demand or self.waiters)
+        return quiet and not (self._asks_by_id or self.holdings.any)
 
     def arrive(self) -> None:
         """Count a request towards the demand."""
@@ -128,8 +122,9 @@
         for part in spent.parts:
             if part.grant_id:
                 self.holdings.give_back(part, now)
-            elif part.shard in self.buckets_by_shard:
-                bucket = self.buckets_by_shard[part.shard]
+                continue
+            bucket = self.buckets_by_shard.get(part.shard)
+            if bucket is not None:
                 bucket.give_back(part.amount, spent.at, now)
 
     def stock(self, now: float, usable: bool) -> float:
@@ -154,7 +149,7 @@
             return 0
         for bucket in buckets:
             bucket.refill(now)
-        fullest = max(buckets, key=lambda bucket: bucket.level)
+        fullest = max(buckets, key=lambda one: one.level)
         # Whole tokens save the borrower from gathering fractions.
         if fullest.level >= 1:
             amount = min(amount, floor(fullest.level))
--- a/packages/decisions/src/dragonflyknot/decisions/buckets.py
+++ b/packages/decisions/src/dragonflyknot/decisions/buckets.py
@@ -50,7 +50,7 @@
         self._starts_at = starts_at
         self._updated_at = starts_at
         self._loans_by_id: dict[str, Loan] = {}
-        self._peaks = [float(0)] * _PEAK_SLOTS
+        self._peaks = [float(0) for _ in range(_PEAK_SLOTS)]
         self._peak_slot = int(starts_at / _PEAK_SLOT_S)
 
     def blocked_within(self, horizon_s: float) -> bool:
--- a/packages/decisions/src/dragonflyknot/decisions/grants.py
+++ b/packages/decisions/src/dragonflyknot/decisions/grants.py
@@ -7,7 +7,7 @@
 what is left of earlier grants, and what the edge gives up unspent.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 EDGE_VALIDITY_S = 1.0
@@ -95,6 +95,11 @@
     grants_by_id: dict[str, HeldGrant] = field(default_factory=dict)
     spent_by_id: dict[str, HeldGrant] = field(default_factory=dict)
 
+    @property
+    def any(self) -> bool:
+        """Tell whether a grant is held or not yet settled."""
+        return bool(self.grants_by_id or self.spent_by_id)
+
     def total(self, now: float) -> float:
         """Return the tokens that may be spent at `now`."""
         self._expire(now)
@@ -146,30 +151,36 @@
         """
         self._expire(now)
         settlements: list[Settlement] = []
-        for grant in (*self.spent_by_id.values(), *self.grants_by_id.values()):
+        for grant in self._all():
             if grant.lender == lender:
                 returned = min(grant.left, max(0, surplus))
                 surplus -= returned
                 settlements.extend(_settle_grant(grant, returned))
-        for grants in (self.spent_by_id, self.grants_by_id):
-            _drop(
-                grants,
-                lambda grant: grant.lender == lender and grant.left <= 0,
-            )
+        self._forget(
+            grant
+            for grant in self._all()
+            if grant.lender == lender and grant.left <= 0
+        )
         return tuple(settlements)
 
     def lenders(self) -> frozenset[str]:
         """Return the hosts whose grants are held or not yet settled."""
-        grants = (*self.spent_by_id.values(), *self.grants_by_id.values())
-        return frozenset(grant.lender for grant in grants)
+        return frozenset(grant.lender for grant in self._all())
+
+    def _all(self) -> tuple[HeldGrant, ...]:
+        return (*self.spent_by_id.values(), *self.grants_by_id.values())
 
     def _move_spent(self, grant: HeldGrant) -> None:
         self.grants_by_id.pop(grant.grant_id)
         self.spent_by_id[grant.grant_id] = grant
 
     def _expire(self, now: float) -> None:
-        for grants in (self.spent_by_id, self.grants_by_id):
-            _drop(grants, lambda grant: grant.expires_at <= now)
+        self._forget(grant for grant in self._all() if grant.expires_at <= now)
+
+    def _forget(self, grants: Iterable[HeldGrant]) -> None:
+        for grant in grants:
+            self.grants_by_id.pop(grant.grant_id, None)
+            self.spent_by_id.pop(grant.grant_id, None)
 
 
 def _settle_grant(grant: HeldGrant, returned: float) -> Iterator[Settlement]:
@@ -177,12 +188,3 @@
     if grant.left < grant.reported:
         grant.reported = grant.left
         yield Settlement(grant.grant_id, grant.left, returned)
-
-
-def _drop(
-    grants_by_id: dict[str, HeldGrant], ended: Callable[[HeldGrant], bool]
-) -> None:
-    for grant_id in [
-        grant.grant_id for grant in grants_by_id.values() if ended(grant)
-    ]:
-        grants_by_id.pop(grant_id)
--- a/packages/decisions/src/dragonflyknot/decisions/leases.py
+++ b/packages/decisions/src/dragonflyknot/decisions/leases.py
@@ -176,11 +176,14 @@
             held = self._epochs_by_held.get(shard)
             if held is not None and (not mine or row.epoch != held):
                 yield from self._drop(shard)
-            released = self._epochs_by_released.get(shard, 0)
-            if mine and row.epoch <= released:
-                yield from self._release(row)
-            elif mine and shard not in self._epochs_by_held:
-                yield from self._hold(row)
+            if mine:
+                yield from self._adopt_own(row)
+
+    def _adopt_own(self, row: ShardRow) -> Iterator[LeaseCommand]:
+        if row.epoch <= self._epochs_by_released.get(row.shard, 0):
+            yield from self._release(row)
+        else:
+            yield from self._hold(row)
 
     def _written(self, write: RowWrite, now: float) -> Iterator[LeaseCommand]:
         match write:
@@ -244,21 +247,19 @@
         for shard in self._free():
             waited_s = now - self._free_since_by_shard.get(shard, now)
             mine = planned.get(shard) == self._me or shard in bequeathed
-            if shard in self._writing_shards:
-                continue
             if mine or waited_s > patience_s:
-                self._writing_shards.add(shard)
-                row = self._rows_by_shard.get(shard)
-                epoch = 0 if row is None else row.epoch
-                yield WriteShard(
-                    ShardRow(
-                        shard,
-                        self._heartbeat.holder,
-                        self._me.daemon,
-                        epoch + 1,
-                    ),
-                    None if row is None else epoch,
-                )
+                yield from self._take_shard(shard)
+
+    def _take_shard(self, shard: int) -> Iterator[LeaseCommand]:
+        if shard in self._writing_shards:
+            return
+        self._writing_shards.add(shard)
+        row = self._rows_by_shard.get(shard)
+        expected = None if row is None else row.epoch
+        taken = ShardRow(
+            shard, self._heartbeat.holder, self._me.daemon, (expected or 0) + 1
+        )
+        yield WriteShard(taken, expected)
 
     def _hand_over(self) -> Iterator[LeaseCommand]:
         counts = self._counts()
--- a/packages/decisions/src/dragonflyknot/decisions/placement.py
+++ b/packages/decisions/src/dragonflyknot/decisions/placement.py
@@ -36,15 +36,16 @@
 ) -> tuple[Candidate, ...]:
     """Select at most `limit` members, as many from each region."""
     members_by_region: dict[str, list[Candidate]] = {}
-    for member in sorted(members, key=lambda one: stable_hash(one.host)):
+    hashed = sorted(members, key=_hash_of_host)
+    for member in hashed:
         members_by_region.setdefault(member.region, []).append(member)
     ranked = [
-        (rank, region, member)
+        (rank, region, one)
         for region, regional in members_by_region.items()
-        for rank, member in enumerate(regional)
+        for rank, one in enumerate(regional)
     ]
     ranked.sort(key=lambda entry: entry[:2])
-    return tuple(member for _, _, member in ranked[:limit])
+    return tuple(selected for _, _, selected in ranked[:limit])
 
 
 def plan_shards(
@@ -104,3 +105,7 @@
     if not ranked:
         return None
     return candidates[min(ranked)[-1]]
+
+
+def _hash_of_host(candidate: Candidate) -> int:
+    return stable_hash(candidate.host)
--- a/packages/decisions/src/dragonflyknot/decisions/quota.py
+++ b/packages/decisions/src/dragonflyknot/decisions/quota.py
@@ -235,27 +235,28 @@
         if missing <= 0:
             return
         for holders in self._rings(account):
-            askable = [
-                holder
-                for holder in holders
-                if account.askable(holder.host, now)
-            ]
-            # Holders that were not asked for longest are the fullest.
-            askable.sort(
-                key=lambda holder: account.told_at_by_host.get(holder.host, 0)
-            )
+            askable = self._askable(account, holders, now)
             for count, holder in enumerate(askable):
                 if missing <= 0:
                     return
-                even = missing / (len(askable) - count)
+                even = ceil(missing / (len(askable) - count))
                 amount = min(
-                    max(ceil(even), _SMALLEST_ASK),
+                    max(even, _SMALLEST_ASK),
                     ceil(missing),
                     self._share(account, holder),
                 )
                 missing -= amount
                 yield self._ask_holder(account, holder.host, amount, now)
 
+    def _askable(
+        self, account: Account, holders: tuple[Holder, ...], now: float
+    ) -> list[Holder]:
+        askable = [one for one in holders if account.askable(one.host, now)]
+        told_at = account.told_at_by_host
+        # Holders that were not asked for longest are the fullest.
+        askable.sort(key=lambda holder: told_at.get(holder.host, 0))
+        return askable
+
     def _rings(self, account: Account) -> tuple[tuple[Holder, ...], ...]:
         """Return the groups of holders to ask, one after the other."""
         near = tuple(
