--- a/measure/slopes/state.py
+++ b/measure/slopes/state.py
@@ -15,7 +15,12 @@
 from dragonflyknot.decisions import keyring, ledger, operations, tickets
 from dragonflyknot.decisions import members as msg
 from dragonflyknot.decisions.document import Revision
-from dragonflyknot.decisions.membership import OTHERS_KEPT, Membership
+from dragonflyknot.decisions.membership import (
+    OTHERS_KEPT,
+    PROBE_INTERVAL_S,
+    WHOLE_VIEW_MEMBERS,
+    Membership,
+)
 from dragonflyknot.peers.gossipwire import encode_gossip
 from harness.gossipfleet import GossipFleet, build_member
 from slopes.callbytes import measure_call_bytes
@@ -33,6 +38,9 @@
 WHOLE_SIZES = (10, 30, 100)
 LARGE_SIZES = (1_000, 21_000)
 SPREAD_STEP_S = 0.25
+KEY_BOUND_S = 5.0
+KEY_TICK_S = 0.2
+KEY_TICKS = 150
 BYTES_PER_KB = 1000
 
 
@@ -61,6 +69,7 @@
     yield Slope('control call beyond its messages', 'bytes', call_bytes)
     for size in sizes:
         yield from _gossip(size, call_bytes)
+        yield _key_reads(size)
     yield from _memory()
 
 
@@ -144,6 +153,36 @@
     return fleet
 
 
+def _key_reads(size: int) -> Slope:
+    """Count the reads that keep every copy fresh by gossip and store."""
+    rng = random.Random(SEED)
+    rings = [keyring.Keyring(KEY_BOUND_S) for _ in range(size)]
+    reads = 0
+    for tick in range(KEY_TICKS):
+        now = tick * KEY_TICK_S
+        is_settled = tick * 2 >= KEY_TICKS
+        for ring in rings:
+            if rng.random() < KEY_TICK_S / PROBE_INTERVAL_S:
+                _exchange(ring, rings[rng.randrange(size)], now)
+            if ring.needs_read(now, rng, is_large=size > WHOLE_VIEW_MEMBERS):
+                ring.confirm_by_store(0, now)
+                reads += is_settled
+            assert ring.is_fresh(now)
+    measured_s = KEY_TICKS / 2 * KEY_TICK_S
+    return Slope(
+        f'keys at {size} daemons: store', 'reads/s', reads / measured_s
+    )
+
+
+def _exchange(
+    asker: keyring.Keyring, peer: keyring.Keyring, now: float
+) -> None:
+    told = asker.freshness(now)
+    asker.confirm_by_peer(peer.freshness(now), now)
+    if peer.gains_from(told, now):
+        peer.confirm_by_peer(told, now)
+
+
 def _memory() -> Iterator[Slope]:
     yield Slope('member in a view', 'bytes', _bytes_each(_fill_view))
     yield Slope('ledger attempt', 'bytes', _bytes_each(_fill_ledger))
--- a/packages/daemon/src/dragonflyknot/daemon/fleet.py
+++ b/packages/daemon/src/dragonflyknot/daemon/fleet.py
@@ -215,6 +215,10 @@
         """Pass a peer's freshness to the keys."""
         self.keys.heard(address, freshness, asked_at)
 
+    def freshness_told(self, address: str, freshness: PeerFreshness) -> None:
+        """Pass on what a peer's message claims of its keys."""
+        self.keys.told(address, freshness)
+
     async def addresses(self, service: str) -> tuple[str, ...]:
         """Return control addresses from the table."""
         return await self._registry.addresses(service)
@@ -239,15 +243,20 @@
             listener(member)
 
     def _choose_witnesses(self) -> None:
-        """Count silent members too, so that no half of a region decides."""
-        region = self._parts.settings.store_region
-        view = self.gossip.machine.view
+        """Count silent members too, so that no half of a region decides.
+
+        In a large fleet no daemon knows a whole region, so there are none.
+        """
         if not self.gossip.machine.keeps_all:
             self.configuration.poll_interval_s = LARGE_FLEET_POLL_S
+            self.keys.is_large = True
+            self.keys.choose_witnesses({}, '')
+            return
+        region = self._parts.settings.store_region
         own = self._own.host if self._own.region == region else ''
         addresses_by_host = {
             member.host: member.peers_grpc
-            for member in view.members_by_host.values()
+            for member in self.gossip.machine.view.members_by_host.values()
             if region and member.region == region
         }
         self.keys.choose_witnesses(addresses_by_host, own)
--- a/packages/daemon/src/dragonflyknot/daemon/gossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/gossip.py
@@ -52,6 +52,9 @@
     ) -> None:
         """Take in how fresh a peer's keys were after `asked_at`."""
 
+    def freshness_told(self, address: str, freshness: PeerFreshness) -> None:
+        """Take in what a peer's message claims of its keys."""
+
     async def addresses(self, service: str) -> tuple[str, ...]:
         """Return control addresses from the table; all for no service."""
 
@@ -107,6 +110,8 @@
 
     def answer(self, message: msg.Gossip) -> msg.Gossip:
         """Take in a peer's message and return the reply."""
+        if message.keys is not None:
+            self._ports.freshness_told(message.sender.peers_grpc, message.keys)
         replies = self._feed(msg.GossipAsked(message))
         return replace(replies[0], keys=self._ports.freshness())
 
--- a/packages/daemon/src/dragonflyknot/daemon/keysync.py
+++ b/packages/daemon/src/dragonflyknot/daemon/keysync.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -36,7 +37,6 @@
 )
 
 TICK_S = 0.2
-READ_AFTER_S = 0.4
 READ_TIMEOUT_S = 0.8
 READ_KEPT_S = 3.0
 ASK_TIMEOUT_S = 0.5
@@ -80,6 +80,8 @@
         self._own_witness = ''
         self._failed_at: float | None = None
         self._tasks = Tasks()
+        self._rng = random.Random()
+        self.is_large = False
 
     async def __aenter__(self) -> 'KeyLoop':
         """Start to keep the copy fresh."""
@@ -114,6 +116,14 @@
         if not self._keyring.confirm_by_peer(freshness, asked_at):
             self._tasks.start(self._catch_up(address))
 
+    def told(self, address: str, freshness: PeerFreshness) -> None:
+        """Ask a peer whose message says that its copy is much fresher.
+
+        How old the message is cannot be known, so it proves nothing itself.
+        """
+        if self._keyring.gains_from(freshness, time.monotonic()):
+            self._tasks.start(self._catch_up(address))
+
     def tell(self, since: int) -> KeysTold:
         """Return what a peer that holds `since` needs to know."""
         return KeysTold(
@@ -144,8 +154,10 @@
 
     async def _run(self) -> None:
         while True:
-            age_s = self._keyring.age_s(time.monotonic())
-            if age_s > READ_AFTER_S or self._failed_at is not None:
+            needs_read = self._keyring.needs_read(
+                time.monotonic(), self._rng, is_large=self.is_large
+            )
+            if needs_read or self._failed_at is not None:
                 await self._refresh()
             await asyncio.sleep(TICK_S)
 
--- a/packages/decisions/src/dragonflyknot/decisions/keyring.py
+++ b/packages/decisions/src/dragonflyknot/decisions/keyring.py
@@ -8,11 +8,19 @@
 was sent, so that a delayed answer makes the copy look older, never younger.
 """
 
+import math
 from dataclasses import dataclass
 
+from dragonflyknot.decisions.randomness import Randomness
+
 MAXIMUM_CLOCK_DRIFT = 0.01
 """Fraction by which the clocks of two hosts may run apart."""
 
+READ_AFTER_S = 0.4
+LARGE_FLEET_READ_SHARE = 0.8
+LARGE_FLEET_SPREAD_S = 0.3
+WORTHWHILE_GAIN_S = 1.0
+
 _NEVER_FRESH = float('-inf')
 
 
@@ -97,6 +105,27 @@
         """Return the age of the copy; infinite before the first answer."""
         return now - self._fresh_at
 
+    def needs_read(
+        self, now: float, rng: Randomness, *, is_large: bool
+    ) -> bool:
+        """Return whether to read the store rather than wait for peers.
+
+        In a large fleet the chance of a read grows with the copy's age, so
+        that a few early readers make the copies of the others fresh and the
+        store's reads do not grow with the fleet.
+        """
+        age_s = self.age_s(now)
+        if not is_large:
+            return age_s > READ_AFTER_S
+        late_s = age_s - self.bound_s * LARGE_FLEET_READ_SHARE
+        if late_s >= 0:
+            return True
+        return rng.random() < math.exp(late_s / LARGE_FLEET_SPREAD_S)
+
+    def gains_from(self, peer: PeerFreshness, now: float) -> bool:
+        """Return whether it is worth a question to a peer that told this."""
+        return self.age_s(now) - peer.age_s > WORTHWHILE_GAIN_S
+
     def is_fresh(self, now: float) -> bool:
         """Return whether keys can be vouched for."""
         return self.age_s(now) <= self.bound_s
