Keep a slow deeper service from holding every slot

Cause: while a deep service ran at a tenth of its speed, requests that never called it starved for slots; deadlines were judged without the time spent in deeper calls; the fake callers sent some wishes twice. Conclusion: calls to a service that is much slower than it was hold at most a share of the slots that grows with their priority.

--- a/measure/experiments/fleet.py
+++ b/measure/experiments/fleet.py
@@ -22,6 +22,7 @@
 )
 from dragonflyknot.decisions.calls import LoadReport, Outcome, UpstreamState
 from dragonflyknot.decisions.concurrency import Verdict
+from dragonflyknot.decisions.deeper import DeeperCalls
 from dragonflyknot.decisions.document import Service
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.retry import Failure, backoff_s
@@ -126,6 +127,7 @@
         self._started_at_by_priority: dict[int, float] = {}
         self._tick_at: float | None = None
         self._refused: list[_Inbound] = []
+        self._deeper = DeeperCalls()
 
     def announce(self, slots: int, state: UpstreamState) -> None:
         """Announce the upstream to its gate."""
@@ -169,6 +171,8 @@
             self.upstream.cancel(name)
         elif inbound.call is not None:
             inbound.call.cancel()
+            service = inbound.request.plan[1]
+            self._deeper.ended(service, name, is_served=False, now=self._now)
         event = Cancelled(name)
         self._perform(self.gate.handle(event, self._now))
 
@@ -209,19 +213,36 @@
             self._finish(name, Verdict.FAILED, Ending.FAILED)
         elif len(inbound.request.plan) == 1:
             self._finish(name, Verdict.SUCCEEDED, Ending.DONE)
+        elif self._may_call(inbound.request):
+            self._call_deeper(name, inbound)
         else:
-            called_at = self._now
+            self._finish(name, Verdict.DEEPER, Ending.DEEPER)
 
-            def back(reply: Reply) -> None:
-                inbound.deeper_s = self._now - called_at
-                if reply.ending is Ending.DONE:
-                    self._finish(name, Verdict.SUCCEEDED, Ending.DONE)
-                else:
-                    self._finish(name, Verdict.DEEPER, Ending.DEEPER)
+    def _may_call(self, request: Request) -> bool:
+        return not self._node.policies.cancels or self._deeper.may_call(
+            request.plan[1],
+            request.priority,
+            self.report().limit,
+            self._now,
+        )
 
-            inbound.call = self._node.submit(
-                inbound.request.deeper(name), inbound.pool, back
-            )
+    def _call_deeper(self, name: str, inbound: _Inbound) -> None:
+        called_at = self._now
+        service = inbound.request.plan[1]
+        self._deeper.started(service, name, called_at)
+
+        def back(reply: Reply) -> None:
+            served = reply.ending is Ending.DONE
+            self._deeper.ended(service, name, is_served=served, now=self._now)
+            inbound.deeper_s = self._now - called_at
+            if served:
+                self._finish(name, Verdict.SUCCEEDED, Ending.DONE)
+            else:
+                self._finish(name, Verdict.DEEPER, Ending.DEEPER)
+
+        inbound.call = self._node.submit(
+            inbound.request.deeper(name), inbound.pool, back
+        )
 
     def _finish(self, name: str, verdict: Verdict, ending: Ending) -> None:
         inbound = self._inbound_by_id.pop(name, None)
--- a/measure/experiments/load.py
+++ b/measure/experiments/load.py
@@ -72,7 +72,7 @@
             return
 
         def arrive() -> None:
-            if rate and born - start < STEP_S:
+            if wait_s < STEP_S:
                 self._wish(stream)
             self._schedule(stream, self.fleet.loop.now, until_s)
 
--- a/packages/callers/src/dragonflyknot/callers/edge.py
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -93,16 +93,39 @@
         if parent is None:
             refused = Refused(Refusal.CHAIN_UNKNOWN)
             return self._refusal(refused, '', request_id, request)
-        parent.deeper_started(time.monotonic())
+        inherited = self._inherit(request, parent, request_id)
+        self._deeper_started(parent, inherited)
         is_failed = True
         try:
-            response = await self._serve(
-                request, request_id, self._inherit(request, parent, request_id)
-            )
+            response = await self._serve(request, request_id, inherited)
             is_failed = _has_failed(response)
             return response
         finally:
-            parent.deeper_ended(time.monotonic(), failed=is_failed)
+            self._deeper_ended(parent, inherited, is_failed=is_failed)
+
+    def _deeper_started(
+        self, parent: RunningCall, inherited: Admitted | Denied
+    ) -> None:
+        now = time.monotonic()
+        parent.deeper_started(now)
+        if isinstance(inherited, Admitted):
+            call = inherited.call
+            self._ports.deeper_calls.started(call.service, call.request_id, now)
+
+    def _deeper_ended(
+        self,
+        parent: RunningCall,
+        inherited: Admitted | Denied,
+        *,
+        is_failed: bool,
+    ) -> None:
+        now = time.monotonic()
+        parent.deeper_ended(now, failed=is_failed)
+        if isinstance(inherited, Admitted):
+            call = inherited.call
+            self._ports.deeper_calls.ended(
+                call.service, call.request_id, is_served=not is_failed, now=now
+            )
 
     async def _admit(
         self, request: web.BaseRequest, request_id: str
@@ -155,6 +178,8 @@
         route = policy.routes.find(request.method, request.path)
         if route is None or parent.call.depth + 1 >= MAX_DEPTH:
             return Denied(Refused(Refusal.NO_ROUTE), workspace)
+        if not self._may_call(route.service, parent.call.priority):
+            return Denied(Refused(Refusal.SHED, RETRY_AFTER_S), workspace)
         deadline = credentials.deadline_of(
             request, route.timeout_ms, time.monotonic()
         )
@@ -173,6 +198,12 @@
         )
         return Admitted(call, route, parent.pool)
 
+    def _may_call(self, service: str, priority: int) -> bool:
+        limit = self._ports.gate_limit
+        return limit is None or self._ports.deeper_calls.may_call(
+            service, priority, limit(), time.monotonic()
+        )
+
     async def _serve(
         self,
         request: web.BaseRequest,
--- a/packages/callers/src/dragonflyknot/callers/ports.py
+++ b/packages/callers/src/dragonflyknot/callers/ports.py
@@ -5,11 +5,13 @@
 """
 
 import random
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from dragonflyknot.decisions.calls import Attempt
 from dragonflyknot.decisions.chains import Chains
+from dragonflyknot.decisions.deeper import DeeperCalls
 from dragonflyknot.decisions.document import Configuration
 from dragonflyknot.decisions.grants import Spent
 from dragonflyknot.decisions.keyring import Keyring
@@ -108,3 +110,5 @@
     chains: Chains
     tally: Tally
     rng: random.Random
+    deeper_calls: DeeperCalls = field(default_factory=DeeperCalls)
+    gate_limit: Callable[[], int] | None = None
--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -113,6 +113,7 @@
                 chains=self.chains,
                 tally=self.tally,
                 rng=random.Random(),
+                gate_limit=lambda: self.turns.report().limit,
             )
         )
         standalone.load(self)
--- a/packages/decisions/src/dragonflyknot/decisions/admission.py
+++ b/packages/decisions/src/dragonflyknot/decisions/admission.py
@@ -12,7 +12,11 @@
 from heapq import heappop, heappush
 
 from dragonflyknot.decisions.calls import LoadReport, UpstreamState
-from dragonflyknot.decisions.concurrency import ConcurrencyLimit, Verdict
+from dragonflyknot.decisions.concurrency import (
+    ConcurrencyLimit,
+    Latency,
+    Verdict,
+)
 from dragonflyknot.decisions.document import (
     HIGHEST_PRIORITY,
     LOWEST_PRIORITY,
@@ -236,7 +240,7 @@
             return
         self._concurrency.observe(
             running.priority,
-            max(0, event.latency_s - event.deeper_s),
+            Latency(event.latency_s, max(0, event.latency_s - event.deeper_s)),
             event.verdict,
             len(self._running_by_id),
             now,
--- a/packages/decisions/src/dragonflyknot/decisions/concurrency.py
+++ b/packages/decisions/src/dragonflyknot/decisions/concurrency.py
@@ -43,9 +43,21 @@
     TIMED_OUT = 'timed-out'
 
 
+@dataclass(frozen=True, slots=True)
+class Latency:
+    """Hold one latency in seconds; `own_s` leaves deeper calls out."""
+
+    total_s: float
+    own_s: float
+
+
 @dataclass(slots=True)
-class _Latency:
-    """Track the latency of one priority, in seconds."""
+class _Latencies:
+    """Track the latencies of one priority, in seconds.
+
+    The mean and the low estimate are of the total, since slots are held and
+    deadlines run for so long; the windows are of the upstream's own part.
+    """
 
     mean_s: float = 0
     low_s: float = 0
@@ -78,7 +90,7 @@
     _trial_limit: float = 0
     _trial_rate: float = 0
     _window: _Window = field(default_factory=_Window)
-    _latencies_by_priority: dict[int, _Latency] = field(default_factory=dict)
+    _latencies_by_priority: dict[int, _Latencies] = field(default_factory=dict)
 
     @property
     def limit(self) -> int:
@@ -121,14 +133,13 @@
     def observe(
         self,
         priority: int,
-        own_s: float,
+        latency: Latency,
         verdict: Verdict,
         running: int,
         now: float,
     ) -> None:
         """Learn from one completion.
 
-        `own_s` is the latency less the time spent in deeper calls;
         `running` counts requests at the upstream before it ended.
         """
         window = self._window
@@ -137,14 +148,14 @@
             window.busy += 1
         match verdict:
             case Verdict.SUCCEEDED | Verdict.DEEPER:
-                self._sample(priority, own_s, now)
+                self._sample(priority, latency, now)
             case Verdict.REFUSED:
                 window.refused += 1
             case Verdict.FAILED:
                 window.failed += 1
             case Verdict.TIMED_OUT:
                 window.failed += 1
-                self._sample(priority, own_s, now)
+                self._sample(priority, latency, now)
         elapsed_s = now - window.opened_at
         if elapsed_s >= WINDOW_S and (
             window.done >= WINDOW_SAMPLES or elapsed_s >= 10 * WINDOW_S
@@ -152,18 +163,19 @@
             self._decide(window, elapsed_s, now)
             self._window = _Window(now)
 
-    def _sample(self, priority: int, own_s: float, now: float) -> None:
-        latency = self._latencies_by_priority.get(priority)
-        if latency is None:
-            latency = _Latency(mean_s=own_s, low_s=own_s)
-            self._latencies_by_priority[priority] = latency
-        latency.mean_s += MEAN_WEIGHT * (own_s - latency.mean_s)
-        rising = own_s > latency.low_s
+    def _sample(self, priority: int, latency: Latency, now: float) -> None:
+        total_s = latency.total_s
+        known = self._latencies_by_priority.get(priority)
+        if known is None:
+            known = _Latencies(mean_s=total_s, low_s=total_s)
+            self._latencies_by_priority[priority] = known
+        known.mean_s += MEAN_WEIGHT * (total_s - known.mean_s)
+        rising = total_s > known.low_s
         weight = LOW_WEIGHT_UP if rising else LOW_WEIGHT_DOWN
-        latency.low_s += weight * (own_s - latency.low_s)
-        latency.seen_at = now
-        latency.window_sum_s += own_s
-        latency.window_count += 1
+        known.low_s += weight * (total_s - known.low_s)
+        known.seen_at = now
+        known.window_sum_s += latency.own_s
+        known.window_count += 1
 
     def _decide(self, window: _Window, elapsed_s: float, now: float) -> None:
         ratio = self._latency_ratio(now)
@@ -220,7 +232,7 @@
         return weighted / count if count else 1
 
 
-def _close_latency(latency: _Latency, now: float) -> float:
+def _close_latency(latency: _Latencies, now: float) -> float:
     mean_s = latency.window_sum_s / latency.window_count
     enough = latency.window_count >= WINDOW_SAMPLES / 4
     stale = now - latency.lowest_at > BASELINE_LIFE_S
--- /dev/null
+++ b/tests/unit/test_deeper_calls.py
@@ -0,0 +1,44 @@
+"""Slots that wait for a slow deeper service."""
+
+from testtools import TestCase
+
+from dragonflyknot.decisions.deeper import DeeperCalls
+
+LIMIT = 100
+
+
+def _calls(latency_s: float) -> DeeperCalls:
+    """Return calls that know a service of 0.1 s, then of another latency."""
+    calls = DeeperCalls()
+    for number in range(200):
+        calls.started('deep', f'{number}', 0)
+        now = 0.1 if number < 100 else latency_s
+        calls.ended('deep', f'{number}', is_served=True, now=now)
+    for number in range(60):
+        calls.started('deep', f'waiting-{number}', 10)
+    return calls
+
+
+class DeeperCallsTest(TestCase):
+    def test_a_slow_service_holds_fewer_slots_for_lesser_calls(self) -> None:
+        calls = _calls(1)
+        allowed = [
+            calls.may_call('deep', priority, LIMIT, 10) for priority in (1, 9)
+        ]
+        self.assertEqual([False, True], allowed)
+
+    def test_a_service_at_its_usual_speed_may_hold_all_slots(self) -> None:
+        calls = _calls(0.1)
+        self.assertTrue(calls.may_call('deep', 1, LIMIT, 10.1))
+
+    def test_calls_that_do_not_come_back_show_a_slow_service(self) -> None:
+        calls = _calls(0.1)
+        self.assertFalse(calls.may_call('deep', 1, LIMIT, 10.5))
+
+    def test_other_services_and_free_slots_are_not_held_back(self) -> None:
+        calls = _calls(1)
+        self.assertTrue(calls.may_call('other', 1, LIMIT, 10))
+        for number in range(50):
+            name = f'waiting-{number}'
+            calls.ended('deep', name, is_served=False, now=11)
+        self.assertTrue(calls.may_call('deep', 1, LIMIT, 11))
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -26,9 +26,10 @@
     workspace: str = 'w',
     depth: int = 0,
     deadline: float = 10,
+    now: float = 0,
 ) -> tuple[admission.Command, ...]:
     event = admission.Arrived(name, workspace, priority, depth, deadline)
-    return gate.handle(event, 0)
+    return gate.handle(event, now)
 
 
 class GateTest(TestCase):
@@ -60,3 +61,74 @@
         self.assertEqual(
             (Refuse('new', Refusal.DRAINING, 1),), _arrive(gate, 'new')
         )
+
+    def test_the_workspace_that_floods_is_shed_first(self) -> None:
+        gate = _gate(slots=1, queue_limit=2)
+        for name in ('run', 'first', 'second'):
+            _arrive(gate, name, workspace='flooding')
+        refused = _arrive(gate, 'quiet', workspace='quiet')
+        self.assertEqual((Refuse('second', Refusal.SHED, 1),), refused)
+
+    def test_open_requests_have_the_lowest_claim_in_their_priority(
+        self,
+    ) -> None:
+        gate = _gate(slots=1, queue_limit=2)
+        for name in ('run', 'first', 'second'):
+            _arrive(gate, name, workspace='w')
+        refused = _arrive(gate, 'open', workspace='')
+        self.assertEqual((Refuse('open', Refusal.SHED, 1),), refused)
+
+    def test_a_dropped_waiter_takes_the_less_important_with_it(self) -> None:
+        gate = _gate(slots=1)
+        _arrive(gate, 'run')
+        _arrive(gate, 'high', priority=5)
+        _arrive(gate, 'low', priority=1, now=1.4)
+        refused = gate.handle(admission.Ticked(), 1.5)
+        names = [command.attempt_id for command in refused]
+        self.assertEqual(['high', 'low'], names)
+
+    def test_deeper_chains_and_earlier_deadlines_go_first(self) -> None:
+        gate = _gate(slots=1)
+        _arrive(gate, 'run')
+        _arrive(gate, 'late', deadline=9)
+        _arrive(gate, 'early', deadline=8)
+        _arrive(gate, 'deep', depth=2, deadline=9)
+        order: list[str] = ['run']
+        for _ in range(3):
+            done = admission.Finished(order[-1], 0.01, Verdict.SUCCEEDED)
+            order.extend(one.attempt_id for one in gate.handle(done, 0.1))
+        self.assertEqual(['run', 'deep', 'early', 'late'], order)
+
+    def test_what_can_not_finish_in_its_time_is_refused_at_once(self) -> None:
+        gate = _gate()
+        for number in range(20):
+            _arrive(gate, f'{number}')
+            done = admission.Finished(f'{number}', 1, Verdict.SUCCEEDED)
+            gate.handle(done, 0)
+        refused = _arrive(gate, 'hasty', deadline=0.5)
+        self.assertEqual((Refuse('hasty', Refusal.NO_TIME, 1),), refused)
+        self.assertEqual((Start('later'),), _arrive(gate, 'later', now=9))
+
+    def test_a_cold_upstream_gets_its_slots_step_by_step(self) -> None:
+        gate = admission.Gate(Service('s'))
+        gate.handle(admission.Announced(80, UpstreamState.READY), 0)
+        limits = [gate.report().limit]
+        now = 0.0
+        for number in range(4000):
+            now += 0.001
+            _arrive(gate, f'{number}', deadline=100, now=now)
+            if number >= 20:
+                name = f'{number - 20}'
+                done = admission.Finished(name, 0.02, Verdict.SUCCEEDED)
+                gate.handle(done, now)
+            limits.append(gate.report().limit)
+        self.assertEqual((10, sorted(limits)), (limits[0], limits))
+        self.assertTrue(limits[-1] > limits[0])
+
+    def test_refusals_of_the_upstream_lower_the_limit(self) -> None:
+        gate = _gate(slots=80)
+        for number in range(200):
+            _arrive(gate, f'{number}')
+            done = admission.Finished(f'{number}', 0.01, Verdict.REFUSED)
+            gate.handle(done, number / 100)
+        self.assertTrue(gate.report().limit < 80)
