--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -187,6 +187,7 @@
             chains=self.chains,
             tally=self.tally,
             rng=random.Random(),
+            gate_limit=lambda: self.turns.report().limit,
         )
 
     async def _listen(self, stack: AsyncExitStack) -> None:
