Name live daemons that gave no dump

Members that the dumps name as live now count: by the revision that their peers tell, or as a trouble 'no dump of'. The daemon's dump tells the environment and the revision of each member.

--- a/packages/daemon/src/dragonflyknot/daemon/status.py
+++ b/packages/daemon/src/dragonflyknot/daemon/status.py
@@ -69,6 +69,7 @@
         incarnation=daemon.incarnation,
         data_center=settings.data_center,
         region=settings.region,
+        environment=settings.environment,
         revision=_revision(daemon),
         ready=not daemon.missing(),
         state=_state(daemon),
@@ -106,6 +107,7 @@
             region=member.region,
             state=member.state.value,
             suspected=bool(member.standing),
+            revision=member.revision,
         )
         for member in daemon.members()
     )
--- a/packages/operators/src/dragonflyknot/operators/dump.py
+++ b/packages/operators/src/dragonflyknot/operators/dump.py
@@ -35,8 +35,8 @@
 class MemberDump(DumpModel):
     """Describe another daemon as this one sees it.
 
-    `operators` is the address (IP:port) of its operators' listener, or
-    empty if that is not known.
+    `revision` is the one it last said to have in force, and `operators` the
+    address (IP:port) of its operators' listener, or empty if not known.
     """
 
     host: str
@@ -45,6 +45,7 @@
     region: str
     state: str
     suspected: bool = False
+    revision: int | None = None
     operators: str = ''
 
 
--- a/packages/operators/src/dragonflyknot/operators/inforce.py
+++ b/packages/operators/src/dragonflyknot/operators/inforce.py
@@ -1,4 +1,7 @@
-"""Wait until a revision is in force on every live daemon."""
+"""Wait until a revision is in force on every live daemon.
+
+A daemon says so in its dump, or its peers say it of a daemon that gave none.
+"""
 
 import asyncio
 from collections.abc import Mapping
@@ -59,10 +62,13 @@
 def _judged(number: int, gathered: Gathered) -> InForce:
     number_by_host = {
         host: dump.revision.number
-        for host, dump in sorted(gathered.dump_by_host.items())
+        for host, dump in gathered.dump_by_host.items()
     }
+    number_by_host |= gathered.revision_by_unseen_host()
     behind = {
-        host: found for host, found in number_by_host.items() if found < number
+        host: found
+        for host, found in sorted(number_by_host.items())
+        if found < number
     }
-    hosts = tuple(host for host in number_by_host if host not in behind)
+    hosts = tuple(sorted(number_by_host.keys() - behind.keys()))
     return InForce(number, hosts, behind, gathered.silent)
--- a/packages/operators/src/dragonflyknot/operators/roomtext.py
+++ b/packages/operators/src/dragonflyknot/operators/roomtext.py
@@ -44,6 +44,7 @@
     """Return what needs the operators' eyes, each with its hosts."""
     hosts_by_trouble: dict[str, tuple[str, ...]] = {
         'silent': snapshot.silent,
+        'no dump of': snapshot.unseen,
         'suspected': snapshot.suspected,
         'not ready': snapshot.unready,
         'behind': tuple(
--- a/packages/operators/src/dragonflyknot/operators/snapshot.py
+++ b/packages/operators/src/dragonflyknot/operators/snapshot.py
@@ -19,6 +19,21 @@
     dump_by_host: Mapping[str, Dump]
     silent: tuple[str, ...] = ()
 
+    def revision_by_unseen_host(self) -> dict[str, int]:
+        """Return the revisions told of live daemons that gave no dump.
+
+        The revision is 0 if none is told.
+        """
+        revision_by_host: dict[str, int] = {}
+        for dump in self.dump_by_host.values():
+            for member in dump.members:
+                if member.suspected or member.host in self.dump_by_host:
+                    continue
+                known = revision_by_host.get(member.host, 0)
+                told = member.revision or 0
+                revision_by_host[member.host] = max(known, told)
+        return revision_by_host
+
 
 @dataclass(frozen=True, slots=True)
 class WorkspaceLine:
@@ -63,6 +78,7 @@
     unready: tuple[str, ...]
     suspected: tuple[str, ...]
     silent: tuple[str, ...]
+    unseen: tuple[str, ...]
     workspaces: tuple[WorkspaceLine, ...]
     services: tuple[ServiceLine, ...]
     link_bytes_by_pair: Mapping[tuple[str, str], float]
@@ -105,6 +121,7 @@
         unready=_hosts(dump for dump in dumps.values() if not dump.ready),
         suspected=_suspected(dumps.values()),
         silent=gathered.silent,
+        unseen=tuple(sorted(gathered.revision_by_unseen_host())),
         workspaces=_workspace_lines(pairs),
         services=_service_lines(dumps.values()),
         link_bytes_by_pair=_link_bytes(pairs),
--- a/tests/integration/test_command_line.py
+++ b/tests/integration/test_command_line.py
@@ -183,6 +183,18 @@
                 done = await operator.run(*words)
                 self.assertEqual(done.code, 0)
                 self.assertIn('in force on all 2 live daemons', done.out)
+                member = {
+                    'host': 'c',
+                    'incarnation': 1,
+                    'data_center': 'north-1',
+                    'region': 'north',
+                    'state': 'ready',
+                    'revision': 0,
+                }
+                fleet.dump_by_host['b'] = plain_dump('b', 1, members=[member])
+                told = await operator.run(*words, '--wait', '0')
+                self.assertEqual(told.code, 4)
+                self.assertIn('Behind: c (at 0)', told.out)
 
         with_operator(body)
 
--- a/tests/unit/test_snapshot.py
+++ b/tests/unit/test_snapshot.py
@@ -25,6 +25,21 @@
     return Gathered(at, {dump.host: dump for dump in stamped})
 
 
+def told_member(
+    host: str, revision: int, *, suspected: bool = False
+) -> dict[str, object]:
+    """Return a member as another daemon tells of it."""
+    return {
+        'host': host,
+        'incarnation': 1,
+        'data_center': 'north-1',
+        'region': 'north',
+        'state': 'ready',
+        'suspected': suspected,
+        'revision': revision,
+    }
+
+
 def surge() -> Snapshot:
     """Return the picture of sixteen daemons over two seconds."""
     early = gathered(*(busy_dump(index, 10) for index in range(16)))
@@ -71,6 +86,19 @@
         silent = replace(snapshot, silent=('10.0.0.9:8084',))
         self.assertEqual(len(troubles(silent)), 2)
 
+    def test_live_members_without_a_dump_are_unseen(self) -> None:
+        teller = plain_dump(
+            'a',
+            members=[
+                told_member('a', 3),
+                told_member('b', 3),
+                told_member('c', 2, suspected=True),
+            ],
+        )
+        snapshot = merge(1, gathered(teller), None)
+        self.assertEqual(snapshot.unseen, ('b',))
+        self.assertIn('no dump of: b', troubles(snapshot))
+
     def test_services_add_up_over_gates(self) -> None:
         line = surge().services[0]
         self.assertEqual((line.name, line.running), ('booking', 360))
