--- a/packages/decisions/src/dragonflyknot/decisions/membership.py
+++ b/packages/decisions/src/dragonflyknot/decisions/membership.py
@@ -46,12 +46,14 @@
 class Membership:
     """Hold one daemon's view and decide whom to tell what."""
 
-    def __init__(self, own: Member) -> None:
-        """Start knowing only the daemon itself."""
+    def __init__(self, own: Member, known: Iterable[Member] = ()) -> None:
+        """Start with the members that are known already."""
         self.view = MemberView()
+        for member in known:
+            self.view.put(member, 0, is_news=False)
         self._own = own
         self._followed: set[str] = set()
-        self._whole = True
+        self._whole = len(self.view) <= WHOLE_VIEW_MEMBERS
         self._addresses: tuple[str, ...] = ()
         self._revision = NO_REVISION
         self._suspicions = Suspicions()
@@ -68,6 +70,11 @@
         """Return the daemon itself as it tells others."""
         return self._own
 
+    @property
+    def keeps_all(self) -> bool:
+        """Return whether the fleet is small enough to be kept whole."""
+        return self._whole
+
     @property
     def revision(self) -> Revision:
         """Return the highest revision that was heard of."""
@@ -116,7 +123,8 @@
         known = self.view.get(member.host)
         if known is None and member.standing is Standing.GONE:
             return
-        if not self.view.put(member, now):
+        is_news = self.follows(member.service)
+        if not self.view.put(member, now, is_news=is_news):
             if self.view.get(member.host) is not known:
                 self._tell(member.host)
             return
@@ -126,7 +134,7 @@
             if rng.random() * (len(self.view) + 1) < SUSPECT_PROBES:
                 self._send(member, rng)
         self._tell(member.host)
-        if self.follows(member.service) and _is_urgent(known, member):
+        if is_news and _is_urgent(known, member):
             self._urgent = True
         if known is None:
             self._shed_others(rng)
@@ -189,11 +197,9 @@
             message.view.service, message.versions
         )
         wanted = [host for host in wanted if host != self._own.host]
-        lacking = [
-            member for member in lacking if member.host != message.sender.host
-        ]
+        peer = message.sender
+        lacking = [one for one in lacking if one.host != peer.host]
         if lacking or wanted:
-            peer = message.sender
             sent = self._compose(peer, lacking[:MAX_REPAIRS], rng)
             self._commands.append(
                 msg.SendGossip(
@@ -242,11 +248,9 @@
         gone = self.view.gone_hosts()
         if gone:
             self._send(self.view.members_by_host[pick(gone, rng)], rng)
-        others = [
-            address
-            for address in self._addresses
-            if address != self._own.peers_grpc
-        ]
+        others = list(self._addresses)
+        if self._own.peers_grpc in others:
+            others.remove(self._own.peers_grpc)
         if others:
             message = replace(
                 msg.Gossip(self._own),
--- a/packages/operators/src/dragonflyknot/operators/dump.py
+++ b/packages/operators/src/dragonflyknot/operators/dump.py
@@ -35,8 +35,9 @@
 class MemberDump(DumpModel):
     """Describe another daemon as this one sees it.
 
-    `revision` is the one it last said to have in force, and `operators` the
-    address (IP:port) of its operators' listener, or empty if not known.
+    `service` is what its upstream announces, empty without one. `revision`
+    is the one it last said to have in force, and `operators` the address
+    (IP:port) of its operators' listener, or empty if not known.
     """
 
     host: str
@@ -47,6 +48,7 @@
     suspected: bool = False
     revision: int | None = None
     operators: str = ''
+    service: str = ''
 
 
 class WorkspaceDump(DumpModel):
