Announce the withdrawal of a key before it is written

Cause: while the store is out, daemons trust a majority in the store's region that no withdrawal is under way, but nothing announced one. key withdraw now does, by POST /withdrawals on any daemon's operators' listener, before it writes, and says so if too few were told (exit code 4).

--- a/packages/daemon/src/dragonflyknot/daemon/status.py
+++ b/packages/daemon/src/dragonflyknot/daemon/status.py
@@ -1,8 +1,9 @@
-"""Answer operators: readiness and the state dump.
+"""Answer operators: readiness, the state dump and withdrawals.
 
 `GET /ready` is 200 once the daemon can serve callers, and 503 with the
 reason before that and while it drains. `GET /dump` returns the state in the
-layout of `dragonflyknot.operators.dump`.
+layout of `dragonflyknot.operators.dump`. `POST /withdrawals` announces the
+withdrawal of a key (see `dragonflyknot.operators.withdrawals`).
 """
 
 import time
@@ -10,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+from pydantic import ValidationError
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.document import OPEN_WORKSPACE
@@ -23,6 +25,11 @@
     StoreDump,
     WorkspaceDump,
 )
+from dragonflyknot.operators.withdrawals import (
+    WITHDRAWALS_PATH,
+    NoticeAnswer,
+    WithdrawalNotice,
+)
 
 if TYPE_CHECKING:
     from dragonflyknot.daemon.runtime import Daemon
@@ -39,6 +46,8 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of an operator."""
+        if request.path == WITHDRAWALS_PATH:
+            return await self._withdraw(request)
         if request.method not in {'GET', 'HEAD'}:
             return web.Response(status=405, text='Use GET.\n')
         match request.path:
@@ -52,6 +61,22 @@
             case _:
                 return web.Response(status=404, text='Use /ready or /dump.\n')
 
+    async def _withdraw(self, request: web.BaseRequest) -> web.Response:
+        if request.method != 'POST':
+            return web.Response(status=405, text='Use POST.\n')
+        try:
+            notice = WithdrawalNotice.model_validate_json(await request.read())
+        except ValidationError:
+            return web.Response(
+                status=400, text='Send {"key_hash": SHA-256 in hexadecimal}.\n'
+            )
+        fleet = self._daemon.fleet
+        announced = await fleet.announce_withdrawal(notice.key_hash)
+        answer = NoticeAnswer(told=announced.told, needed=announced.needed)
+        return web.Response(
+            text=answer.model_dump_json(), content_type='application/json'
+        )
+
     def _ready(self) -> web.Response:
         missing = self._daemon.missing()
         if not missing:
--- a/packages/operators/src/dragonflyknot/operators/keycommands.py
+++ b/packages/operators/src/dragonflyknot/operators/keycommands.py
@@ -1,13 +1,14 @@
 """The commands on keys: issue, withdraw and list."""
 
 from dataclasses import asdict, dataclass
-from typing import ClassVar
+from typing import ClassVar, Final
 
 from cleo.helpers import argument
 from result import Err
 
 from dragonflyknot.operators.base import (
     BaseCommand,
+    ExitCode,
     Failure,
     Output,
     failure_of,
@@ -19,13 +20,20 @@
     ENVIRONMENT,
     LABEL,
     PLATFORM,
+    SOME_DAEMONS,
     Settings,
 )
 from dragonflyknot.operators.keys import Keys
 from dragonflyknot.operators.revisions import Revisions
+from dragonflyknot.operators.withdrawals import Announcement, announce
 from dragonflyknot.platform.backends import Backend, RemoteBackend
 from dragonflyknot.platform.rows import KeyChangeBody
 
+NOT_ANNOUNCED: Final = (
+    'It was not announced; pass --daemons, so that it holds through an outage'
+    ' of the store that begins now.'
+)
+
 
 @dataclass(frozen=True, slots=True)
 class UnknownWorkspace:
@@ -90,24 +98,25 @@
 
     name = 'key withdraw'
     description = 'Withdraw a key; it stops working within seconds.'
-    flags: ClassVar = (ENVIRONMENT, *PLATFORM)
+    flags: ClassVar = (ENVIRONMENT, SOME_DAEMONS, *PLATFORM)
     arguments: ClassVar = [argument('key-id', 'Identifier of the key')]
     options: ClassVar = options_of(*flags)
 
     async def work(self, settings: Settings) -> Output | Failure:
-        """Report the withdrawal."""
+        """Announce and write the withdrawal, and report both."""
         async with RemoteBackend(settings.platform()) as backend:
             keys = Keys(
                 backend.table, settings.text(ENVIRONMENT), system_clock()
             )
-            withdrawn = await keys.withdraw(self.argument('key-id'))
+            found = await keys.find(self.argument('key-id'))
+            if isinstance(found, Err):
+                return failure_of(found.err_value)
+            addresses = settings.addresses()
+            announced = await announce(addresses, found.ok_value.key_hash)
+            withdrawn = await keys.mark_withdrawn(found.ok_value)
         if isinstance(withdrawn, Err):
             return failure_of(withdrawn.err_value)
-        change = withdrawn.ok_value
-        return Output(
-            f'Key {change.key_id} of {change.workspace} is withdrawn.',
-            _members(change),
-        )
+        return _withdrawal(withdrawn.ok_value, announced)
 
 
 class KeyListCommand(BaseCommand):
@@ -138,6 +147,16 @@
     return tuple(sorted(document.workspaces)) if document else ()
 
 
+def _withdrawal(change: KeyChangeBody, announced: Announcement) -> Output:
+    text = f'Key {change.key_id} of {change.workspace} is withdrawn.'
+    members = _members(change)
+    if announced.asked == 0:
+        return Output(f'{text} {NOT_ANNOUNCED}', members)
+    code = ExitCode.DONE if announced.is_enough else ExitCode.INCOMPLETE
+    members['announced'] = asdict(announced)
+    return Output(f'{text} {announced}', members, code)
+
+
 def _members(change: KeyChangeBody) -> dict[str, object]:
     members = asdict(change)
     members.pop('key_hash')
--- a/packages/operators/src/dragonflyknot/operators/keys.py
+++ b/packages/operators/src/dragonflyknot/operators/keys.py
@@ -96,10 +96,8 @@
             return appended
         return Ok(Issued(key, appended.ok_value))
 
-    async def withdraw(
-        self, key_id: str
-    ) -> Result[KeyChangeBody, KeyChangeError]:
-        """Withdraw a key by its identifier or text; twice is no error."""
+    async def find(self, key_id: str) -> Result[KeyChangeBody, KeyChangeError]:
+        """Return the last change of a key by its identifier or text."""
         if key_id.startswith(KEY_PREFIX):
             key_id = hash_of_key(key_id)
         listed = await self.listed()
@@ -112,10 +110,25 @@
         ]
         if len(found) != 1:
             return Err(KeyNotFound())
-        if found[0].withdrawn:
-            return Ok(found[0])
+        return Ok(found[0])
+
+    async def withdraw(
+        self, key_id: str
+    ) -> Result[KeyChangeBody, KeyChangeError]:
+        """Find and withdraw a key, without an announcement."""
+        found = await self.find(key_id)
+        if isinstance(found, Err):
+            return found
+        return await self.mark_withdrawn(found.ok_value)
+
+    async def mark_withdrawn(
+        self, found: KeyChangeBody
+    ) -> Result[KeyChangeBody, KeyChangeError]:
+        """Withdraw a key that was found; twice is no error."""
+        if found.withdrawn:
+            return Ok(found)
         return await self._append(
-            replace(found[0], withdrawn=True, changed_at=self._clock.now())
+            replace(found, withdrawn=True, changed_at=self._clock.now())
         )
 
     async def listed(
--- a/tests/fakefleet.py
+++ b/tests/fakefleet.py
@@ -8,6 +8,11 @@
 from aiohttp import web
 
 from dragonflyknot.operators.dump import Dump
+from dragonflyknot.operators.withdrawals import (
+    WITHDRAWALS_PATH,
+    NoticeAnswer,
+    WithdrawalNotice,
+)
 
 REGIONS = ('north', 'south')
 SERVICES = ('booking', 'intake', 'profile', 'reel')
@@ -32,6 +37,8 @@
     def __init__(self, dumps: list[Dump]) -> None:
         self.dump_by_host = {dump.host: dump for dump in dumps}
         self.addresses: list[str] = []
+        self.notices: list[str] = []
+        self.notice_answer = NoticeAnswer(told=2, needed=2)
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -47,6 +54,11 @@
     ) -> None:
         await self._stack.aclose()
 
+    async def _notice(self, request: web.Request) -> web.Response:
+        notice = WithdrawalNotice.model_validate_json(await request.read())
+        self.notices.append(notice.key_hash)
+        return web.Response(text=self.notice_answer.model_dump_json())
+
     async def _listen(self, host: str) -> str:
         async def answer(request: web.Request) -> web.Response:
             text = self.dump_by_host[host].model_dump_json()
@@ -54,6 +66,7 @@
 
         application = web.Application()
         application.router.add_get('/dump', answer)
+        application.router.add_post(WITHDRAWALS_PATH, self._notice)
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
--- a/tests/integration/test_command_line.py
+++ b/tests/integration/test_command_line.py
@@ -20,6 +20,8 @@
 from childenviron import process_environ
 from dragonflyknot.operators.main import application
 from dragonflyknot.operators.room import Room
+from dragonflyknot.operators.withdrawals import NoticeAnswer
+from dragonflyknot.platform.rows import hash_of_key
 from dragonflyknot.platform.standin.server import Standin
 from fakefleet import FakeFleet, plain_dump
 
@@ -222,6 +224,28 @@
 
         with_operator(body)
 
+    def test_withdrawal_is_announced_before_it_is_written(self) -> None:
+        async def body(operator: Operator, standin: Standin) -> None:
+            await operator.run('try', JADELEAF)
+            issued = await operator.run('key', 'issue', 'narrators', '--json')
+            words = ('key', 'withdraw', issued.members['key_id'], '--daemons')
+            key_hash = hash_of_key(issued.members['key'])
+            async with FakeFleet([plain_dump('a')]) as fleet:
+                daemons = f'127.0.0.1:1,{fleet.addresses[0]}'
+                fleet.notice_answer = NoticeAnswer(told=1, needed=2)
+                partly = await operator.run(*words, daemons)
+                self.assertEqual(partly.code, 4)
+                self.assertIn('Only 1 of 2', partly.out)
+                fleet.notice_answer = NoticeAnswer(told=2, needed=2)
+                done = await operator.run(*words, daemons)
+                self.assertEqual(done.code, 0)
+                self.assertEqual(fleet.notices, [key_hash, key_hash])
+                standin.table_switches.down = True
+                out = await operator.run(*words, daemons)
+                self.assertEqual(out.code, 3)
+
+        with_operator(body)
+
 
 class FleetCommandsTest(testtools.TestCase):
     """Status, dump and room read the dumps of the daemons."""
--- a/tests/unit/test_keys.py
+++ b/tests/unit/test_keys.py
@@ -35,6 +35,9 @@
         rows = run_async(read_all(self.table, partition)).unwrap()
         return [decoded(KeyChangeBody, row).unwrap() for row in rows]
 
+    def _withdraw(self, key_id: str) -> KeyChangeBody:
+        return run_async(self.keys.withdraw(key_id)).unwrap()
+
     def _head(self) -> int:
         row = run_async(self.table.get(key_head_key(TRIAL))).unwrap()
         assert row is not None
@@ -50,7 +53,7 @@
     def test_withdrawal_is_a_later_change_of_the_same_key(self) -> None:
         first = run_async(self.keys.issue('hikers')).unwrap().change
         run_async(self.keys.issue('guides'))
-        gone = run_async(self.keys.withdraw(first.key_id)).unwrap()
+        gone = self._withdraw(first.key_id)
         self.assertEqual((gone.sequence, gone.withdrawn), (3, True))
         listed = run_async(self.keys.listed()).unwrap()
         marks = {change.workspace: change.withdrawn for change in listed}
@@ -58,8 +61,8 @@
 
     def test_withdrawing_twice_changes_nothing(self) -> None:
         key_id = run_async(self.keys.issue('hikers')).unwrap().change.key_id
-        run_async(self.keys.withdraw(key_id))
-        run_async(self.keys.withdraw(key_id)).unwrap()
+        self._withdraw(key_id)
+        self._withdraw(key_id)
         self.assertEqual(self._head(), 2)
 
     def test_unknown_or_empty_identifier_is_refused(self) -> None:
