--- a/packages/operators/src/dragonflyknot/operators/dump.py
+++ b/packages/operators/src/dragonflyknot/operators/dump.py
@@ -35,9 +35,9 @@
 class MemberDump(DumpModel):
     """Describe another daemon as this one sees it.
 
-    `service` is what its upstream announces, empty without one.
-    `operators` is the address (IP:port) of its operators' listener, or
-    empty if that is not known.
+    `service` is what its upstream announces, empty without one. `revision`
+    is the one it last said to have in force, and `operators` the address
+    (IP:port) of its operators' listener, or empty if not known.
     """
 
     host: str
@@ -46,6 +46,7 @@
     region: str
     state: str
     suspected: bool = False
+    revision: int | None = None
     operators: str = ''
     service: str = ''
 
