--- a/models/catalogue.py
+++ b/models/catalogue.py
@@ -59,10 +59,14 @@
 )
 _SETTLED = Search('attempts', 'counted faults', Claim.SAFETY, ('SETTLE',))
 _SETTLING = Search('attempts', 'counted faults', Claim.ENDING, ('SETTLE',))
-_LEASES = Search('leases', 'tokens', Claim.SAFETY)
+_LEASES = Search('leases', 'lease', Claim.SAFETY, ('NO_GRANTS',))
+_GRANTS = Search('leases', 'grants', Claim.SAFETY, ('NO_LEASE',))
 _HOLDING = Search('leases', 'holding', Claim.LIVENESS, ('PROMPT',))
-_CONFIGURATION = Search('configuration', 'revisions', Claim.ENDING)
-_RETRIES = Search('retries', 'tree', Claim.ENDING)
+_CONFIGURATION = Search('configuration', 'revisions', Claim.SAFETY)
+_SPREADING = Search(
+    'configuration', 'one change each', Claim.ENDING, ('CHANGES=1',)
+)
+_RETRIES = Search('retries', 'tree', Claim.SAFETY)
 
 SEARCHES = (
     _ATTEMPTS,
@@ -72,6 +76,12 @@
     _TICKETS,
     _SETTLED,
     _SETTLING,
+    _LEASES,
+    _GRANTS,
+    _HOLDING,
+    _CONFIGURATION,
+    _SPREADING,
+    _RETRIES,
 )
 
 MUTANTS = (
@@ -88,4 +98,27 @@
     Mutant(_CLAIMS, 'RELEASE_AFTER_UNKNOWN'),
     Mutant(_TICKETS, 'NO_TICKET_INCARNATION'),
     Mutant(_SETTLED, 'BUSY_MEANS_UNKNOWN'),
+    Mutant(_LEASES, 'LEASE_WITHOUT_MARGIN_OR_WAIT'),
+    Mutant(_LEASES, 'LEASE_FROM_ANSWER'),
+    Mutant(_LEASES, 'WITNESS_LEASE_FROM_ANSWER'),
+    Mutant(_LEASES, 'RENEWAL_OF_A_DEAD_ROW'),
+    Mutant(_LEASES, 'FENCE_WITHOUT_CONDITION'),
+    Mutant(_LEASES, 'GRANTS_WHILE_FENCING'),
+    Mutant(_GRANTS, 'TAKER_STARTS_AT_ONCE'),
+    Mutant(_HOLDING, 'TAKER_NEVER_TAKES'),
+    Mutant(_GRANTS, 'LOANS_ARE_NOT_COUNTED'),
+    Mutant(_GRANTS, 'GRANT_COUNTED_FROM_ARRIVAL'),
+    Mutant(_GRANTS, 'GRANT_CREDITED_TWICE'),
+    Mutant(_CONFIGURATION, 'WRITE_WITHOUT_CONDITION'),
+    Mutant(_CONFIGURATION, 'REVISION_MEANS_ACCEPTED'),
+    Mutant(_CONFIGURATION, 'LATER_REVISION_MEANS_OVERTAKEN'),
+    Mutant(_CONFIGURATION, 'ABSENCE_MEANS_OVERTAKEN'),
+    Mutant(_CONFIGURATION, 'INSTALL_ANY_REVISION'),
+    Mutant(_CONFIGURATION, 'DOCUMENT_WITHOUT_DIGEST'),
+    Mutant(_CONFIGURATION, 'WITHOUT_GOSSIP'),
+    Mutant(_RETRIES, 'DOUBLED_CALL_STARTS_TWICE'),
+    Mutant(_RETRIES, 'ANSWER_CREDITED_TWICE'),
+    Mutant(_RETRIES, 'HAND_OVER_COPIES'),
+    Mutant(_RETRIES, 'REPORT_WITHOUT_SEAL'),
+    Mutant(_RETRIES, 'SILENCE_RETURNS_THE_PART'),
 )
