--- /dev/null
+++ b/tests/promisesite.py
@@ -0,0 +1,231 @@
+"""A fleet of real processes with a relay before every daemon.
+
+Tests of the promises share it. Upstreams run inside the test, so that their
+ledgers say what really ran.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from contextlib import AsyncExitStack
+from types import TracebackType
+
+import aiohttp
+
+from asyncrun import run_async
+from harness.caller import Shot, ShotResult, shoot
+from harness.fleet import Fleet, HostSpec
+from harness.relay import Relay
+
+WORKSPACES = ('studio', 'press', 'small')
+EVENT_DEADLINE_S = 30
+POLL_S = 0.05
+SLOW_S = 0.3
+
+DOCUMENT = """
+[open]
+rate = 1000
+burst = 1000
+
+[workspaces.studio]
+rate = 4000
+burst = 8000
+
+[workspaces.press]
+rate = 4000
+burst = 8000
+
+[workspaces.small]
+rate = 16
+burst = 16
+
+[services.booking]
+queue_limit = 64
+queue_wait_ms = 4000
+
+[services.profile]
+
+[[routes]]
+service = "booking"
+method = "POST"
+prefix = "/auditions"
+priority = 9
+timeout_ms = 8000
+retries = 2
+once = true
+
+[[routes]]
+service = "booking"
+method = "POST"
+prefix = "/recordings"
+priority = 8
+timeout_ms = 8000
+retries = 2
+
+[[routes]]
+service = "booking"
+method = "GET"
+prefix = "/auditions"
+priority = 3
+timeout_ms = 8000
+retries = 3
+idempotent = true
+
+[[routes]]
+service = "booking"
+method = "GET"
+prefix = "/reels"
+priority = 3
+timeout_ms = 20000
+retries = 2
+
+[[routes]]
+service = "profile"
+method = "GET"
+prefix = "/narrators"
+priority = 4
+timeout_ms = 8000
+retries = 3
+idempotent = true
+"""
+
+EDGE = HostSpec('edge', 'dc1', 'north')
+NORTH = HostSpec('north', 'dc1', 'north', 'booking')
+SOUTH = HostSpec('south', 'dc3', 'south', 'booking')
+PROFILE = HostSpec('profile', 'dc2', 'north', 'profile')
+
+
+class Site:
+    """Own a fleet, its relays and a session of a caller."""
+
+    def __init__(self, *specs: HostSpec) -> None:
+        """Choose the hosts; nothing is started yet."""
+        self.specs = specs
+        self.fleet = Fleet(list(specs), DOCUMENT)
+        self.requests_by_host: dict[str, Relay] = {}
+        self.control_by_host: dict[str, Relay] = {}
+        self.keys_by_workspace: dict[str, str] = {}
+        self._stack = AsyncExitStack()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> 'Site':
+        """Start everything and wait until each key works everywhere."""
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stop everything."""
+        await self._stack.aclose()
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """Return the session of the caller."""
+        assert self._session is not None
+        return self._session
+
+    async def shoot(
+        self, shot: Shot, edge: str = 'edge', workspace: str = 'studio'
+    ) -> ShotResult:
+        """Send one request to an edge."""
+        return await shoot(
+            self.session,
+            self.fleet.callers(edge),
+            self.keys_by_workspace[workspace],
+            shot,
+        )
+
+    async def shoot_all(
+        self,
+        shots: Iterable[Shot],
+        edge: str = 'edge',
+        workspace: str = 'studio',
+    ) -> list[ShotResult]:
+        """Send many requests at once."""
+        sent = [self.shoot(shot, edge, workspace) for shot in shots]
+        return list(await asyncio.gather(*sent))
+
+    def runs(self) -> Counter[str]:
+        """Return how often each tag ran, over all upstreams."""
+        runs_by_tag: Counter[str] = Counter()
+        for upstream in self.fleet.upstreams_by_host.values():
+            runs_by_tag.update(upstream.ledger.runs_by_tag)
+        return runs_by_tag
+
+    def slow_down(self, factor: float) -> None:
+        """Multiply the service time of every upstream."""
+        for upstream in self.fleet.upstreams_by_host.values():
+            upstream.slow_factor = factor
+
+    async def until_served(self, shot_path: str = '/auditions/1') -> None:
+        """Wait until every daemon serves every workspace."""
+        for spec in self.specs:
+            for workspace in self.keys_by_workspace:
+                await until(
+                    lambda host=spec.host, name=workspace: self._is_served(
+                        shot_path, host, name
+                    )
+                )
+
+    async def _start(self) -> None:
+        for spec in self.specs:
+            addresses = self.fleet.addresses_by_host[spec.host]
+            requests = Relay(addresses.requests)
+            control = Relay(addresses.control)
+            self.requests_by_host[spec.host] = requests
+            self.control_by_host[spec.host] = control
+            await self._stack.enter_async_context(requests)
+            await self._stack.enter_async_context(control)
+            self.fleet.advertised_by_host[spec.host] = requests.address
+            self.fleet.advertised_control_by_host[spec.host] = control.address
+        await self._stack.enter_async_context(self.fleet)
+        self._session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        )
+        for workspace in WORKSPACES:
+            key = await self.fleet.issue_key(workspace)
+            self.keys_by_workspace[workspace] = key
+        await self.until_served()
+
+    async def _is_served(
+        self, shot_path: str, host: str, workspace: str
+    ) -> bool:
+        probe = await self.shoot(Shot('GET', shot_path), host, workspace)
+        return probe.is_whole
+
+
+async def until(
+    condition: Callable[[], Awaitable[bool] | bool],
+    deadline_s: float = EVENT_DEADLINE_S,
+) -> None:
+    """Wait for an event with a generous deadline."""
+    async with asyncio.timeout(deadline_s):
+        while not await _holds(condition):  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+
+
+def with_site(
+    body: Callable[[Site], Awaitable[None]], *specs: HostSpec
+) -> None:
+    """Run the body of a test on a site of its own."""
+
+    async def run() -> None:
+        async with Site(*specs) as site:
+            await body(site)
+
+    run_async(run())
+
+
+async def _holds(condition: Callable[[], Awaitable[bool] | bool]) -> bool:
+    found = condition()
+    if isinstance(found, bool):
+        return found
+    return await found
