--- a/measure/experiments/live.py
+++ b/measure/experiments/live.py
@@ -104,7 +104,7 @@
     leaving.state = UpstreamState.DRAINING
     await leaving.announce()
     began = time.monotonic()
-    last_new_work_s = 0.0
+    last_new_work_s = float(0)
     seen = leaving.ledger.runs_by_tag.total()
     while time.monotonic() - began < DRAIN_WATCH_S:
         await asyncio.sleep(POLL_S)
--- a/tests/promisesite.py
+++ b/tests/promisesite.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
+from functools import partial
 from types import TracebackType
 
 import aiohttp
@@ -169,11 +170,10 @@
         """Wait until every daemon serves every workspace."""
         for spec in self.specs:
             for workspace in self.keys_by_workspace:
-                await until(
-                    lambda host=spec.host, name=workspace: self._is_served(
-                        shot_path, host, name
-                    )
+                served = partial(
+                    self._is_served, shot_path, spec.host, workspace
                 )
+                await until(served)
 
     async def _start(self) -> None:
         for spec in self.specs:
