Run the rate machines in the daemon

Cause: the edge counted rates on its own. The shell feeds Quota and LeaseKeeper from the edge, the table and two new control calls (a witness's short lease and a nudge), and every daemon now takes part.

--- a/measure/slopes/callbytes.py
+++ b/measure/slopes/callbytes.py
@@ -4,6 +4,7 @@
 
 from dragonflyknot.decisions import grants, ledger, members, tickets
 from dragonflyknot.decisions.keyring import KeyChanges, PeerFreshness
+from dragonflyknot.decisions.leaserows import AnswerWitness
 from dragonflyknot.decisions.outage import StoreStatement
 from dragonflyknot.peers.control import ControlServer
 from dragonflyknot.peers.controlclient import ControlClient
@@ -50,6 +51,13 @@
     async def withdraw(self, key_hash: str) -> None:
         """Take a withdrawal."""
 
+    async def witness(self, holder: str) -> AnswerWitness:
+        """Grant a short lease."""
+        return AnswerWitness('w/1', holder, granted=True)
+
+    async def nudge(self) -> None:
+        """Take a nudge."""
+
 
 class _CountingRelay:
     """Count the bytes between one client and one server."""
--- a/packages/daemon/src/dragonflyknot/daemon/fleet.py
+++ b/packages/daemon/src/dragonflyknot/daemon/fleet.py
@@ -29,6 +29,7 @@
 from dragonflyknot.decisions import grants, ledger, members, routing, tickets
 from dragonflyknot.decisions.document import Revision
 from dragonflyknot.decisions.keyring import Keyring, PeerFreshness
+from dragonflyknot.decisions.leaserows import AnswerWitness
 from dragonflyknot.decisions.ledger import Ledger
 from dragonflyknot.decisions.routing import Router
 from dragonflyknot.peers.control import ControlServer
@@ -42,6 +43,7 @@
 LARGE_FLEET_POLL_S = 60.0
 
 GrantAnswerer = Callable[[grants.GrantRequest], Awaitable[grants.GrantAnswer]]
+WitnessAnswerer = Callable[[str], Awaitable[AnswerWitness]]
 MemberListener = Callable[[members.Member], None]
 GoneListener = Callable[[str], None]
 
@@ -52,6 +54,14 @@
     )
 
 
+async def _no_witness(holder: str) -> AnswerWitness:
+    return AnswerWitness('', holder, granted=False)
+
+
+async def _no_nudge() -> None:
+    """Ignore a nudge."""
+
+
 @dataclass(slots=True)
 class FleetParts:
     """Bundle the daemon's parts that the fleet feeds or asks.
@@ -70,8 +80,11 @@
     backend: Backend
     own_state: Callable[[], members.OwnChanged]
     answer_grant: GrantAnswerer = _no_grant
+    answer_witness: WitnessAnswerer = _no_witness
+    nudged: Callable[[], Awaitable[None]] = _no_nudge
     member_listeners: list[MemberListener] = field(default_factory=list)
     gone_listeners: list[GoneListener] = field(default_factory=list)
+    raised_listeners: list[Callable[[int], None]] = field(default_factory=list)
 
 
 class Fleet:
@@ -204,6 +217,8 @@
     def incarnation_raised(self, incarnation: int) -> None:
         """Answer to a further incarnation of this process."""
         self._parts.ledger.adopt(incarnation)
+        for listener in self._parts.raised_listeners:
+            listener(incarnation)
 
     def freshness(self) -> PeerFreshness:
         """Return how fresh the keys are."""
@@ -288,6 +303,12 @@
     async def withdraw(self, key_hash: str) -> None:
         self._fleet.keys.withdraw(key_hash)
 
+    async def witness(self, holder: str) -> AnswerWitness:
+        return await self._parts.answer_witness(holder)
+
+    async def nudge(self) -> None:
+        await self._parts.nudged()
+
 
 def _target(
     member: members.Member,
--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -14,10 +14,11 @@
 
 from dragonflyknot.callers.edge import Edge
 from dragonflyknot.callers.ports import EdgePorts
-from dragonflyknot.daemon import lifecycle, listeners, metrics, standalone
+from dragonflyknot.daemon import lifecycle, listeners, metrics
 from dragonflyknot.daemon.fleet import Fleet, FleetParts
 from dragonflyknot.daemon.metrics import Gauge, Metrics
 from dragonflyknot.daemon.policies import PolicyHolder
+from dragonflyknot.daemon.rates import Rates, RateSettings
 from dragonflyknot.daemon.settings import Settings
 from dragonflyknot.daemon.status import Status
 from dragonflyknot.daemon.tasks import Tasks
@@ -148,8 +149,11 @@
                 tally=self.tally,
             )
         )
-        self.fleet = Fleet(self._fleet_parts())
+        parts = self._fleet_parts()
+        self.fleet = Fleet(parts)
+        self.rates = self._join_rates(parts)
         await stack.enter_async_context(self.fleet)
+        await stack.enter_async_context(self.rates)
         sessions = PeerSessions(relay_session)
         await stack.enter_async_context(sessions)
         self._sessions = sessions
@@ -168,11 +172,33 @@
             own_state=self.own_state,
         )
 
+    def _join_rates(self, parts: FleetParts) -> Rates:
+        settings = self.settings
+        rates = Rates(
+            RateSettings(
+                host=settings.host,
+                incarnation=self.incarnation,
+                data_center=settings.data_center,
+                region=settings.region,
+                environment=settings.environment,
+            ),
+            self._backend.table,
+            self.fleet.calls,
+        )
+        parts.answer_grant = rates.answer_grant
+        parts.answer_witness = rates.answer_witness
+        parts.nudged = rates.nudged
+        parts.member_listeners.append(rates.member_changed)
+        parts.gone_listeners.append(rates.member_gone)
+        parts.raised_listeners.append(rates.adopt)
+        self.policies.subscribe(rates.configure)
+        return rates
+
     def _edge_ports(self, sessions: PeerSessions) -> EdgePorts:
         return EdgePorts(
             policies=self.policies,
             keyring=self.keyring,
-            rates=standalone.LocalRates(self.policies),
+            rates=self.rates,
             router=self.router,
             budget=RetryBudget(),
             sender=Forwarder(
--- a/packages/peers/src/dragonflyknot/peers/control.py
+++ b/packages/peers/src/dragonflyknot/peers/control.py
@@ -15,6 +15,7 @@
 from grpclib.server import Server, Stream
 
 from dragonflyknot.decisions import grants, ledger, members, tickets
+from dragonflyknot.decisions.leaserows import AnswerWitness
 from dragonflyknot.peers import controlwire, gossipwire
 from dragonflyknot.peers.badmessage import BadMessageError, checked_name
 from dragonflyknot.peers.controlwire import KeysTold
@@ -58,6 +59,12 @@
     async def withdraw(self, key_hash: str) -> None:
         """Take in an announced withdrawal."""
 
+    async def witness(self, holder: str) -> AnswerWitness:
+        """Answer a holder of shards that asks for a short lease."""
+
+    async def nudge(self) -> None:
+        """Take in that the lease rows have changed."""
+
 
 class ControlServer:
     """Own the gRPC listener of a daemon; a context manager."""
@@ -135,6 +142,16 @@
     ) -> None:
         await _answer(stream, self._withdraw)
 
+    async def AskWitness(
+        self, stream: Stream[wire.WitnessRequest, wire.WitnessAnswer]
+    ) -> None:
+        await _answer(stream, self._witness)
+
+    async def NudgeLeases(
+        self, stream: Stream[wire.LeaseNudge, wire.LeaseNudged]
+    ) -> None:
+        await _answer(stream, self._nudge)
+
     async def _gossip(self, asked: wire.GossipMessage) -> wire.GossipMessage:
         message = gossipwire.decode_gossip(asked)
         return gossipwire.encode_gossip(await self._handlers.gossip(message))
@@ -177,6 +194,15 @@
         )
         return wire.WithdrawalHeard()
 
+    async def _witness(self, asked: wire.WitnessRequest) -> wire.WitnessAnswer:
+        holder = checked_name('holder', asked.holder)
+        answer = await self._handlers.witness(holder)
+        return controlwire.encode_witness_answer(answer)
+
+    async def _nudge(self, _asked: wire.LeaseNudge) -> wire.LeaseNudged:
+        await self._handlers.nudge()
+        return wire.LeaseNudged()
+
 
 async def _answer(
     stream: Stream[_Request, _Answer],
--- a/packages/peers/src/dragonflyknot/peers/controlclient.py
+++ b/packages/peers/src/dragonflyknot/peers/controlclient.py
@@ -18,6 +18,7 @@
 from result import Err, Ok, Result
 
 from dragonflyknot.decisions import grants, ledger, members, tickets
+from dragonflyknot.decisions.leaserows import AnswerWitness
 from dragonflyknot.peers import controlwire, gossipwire
 from dragonflyknot.peers.badmessage import BadMessageError
 from dragonflyknot.peers.control import SECRET_METADATA
@@ -206,6 +207,33 @@
             _nothing_of,
         )
 
+    async def ask_witness(
+        self, address: str, holder: str, timeout_s: float
+    ) -> Result[AnswerWitness, ControlError]:
+        """Ask a witness for a short lease."""
+        request = wire.WitnessRequest(holder=holder)
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.AskWitness(
+                request, timeout=timeout_s, metadata=self._metadata
+            ),
+            controlwire.decode_witness_answer,
+        )
+
+    async def nudge(
+        self, address: str, timeout_s: float
+    ) -> Result[None, ControlError]:
+        """Tell a daemon that the lease rows have changed."""
+        return await self._call(
+            address,
+            timeout_s,
+            lambda stub: stub.NudgeLeases(
+                wire.LeaseNudge(), timeout=timeout_s, metadata=self._metadata
+            ),
+            _nothing_of,
+        )
+
     async def _call(
         self,
         address: str,
@@ -281,5 +309,5 @@
     return answer.content
 
 
-def _nothing_of(_answer: wire.WithdrawalHeard) -> None:
+def _nothing_of(_answer: wire.WithdrawalHeard | wire.LeaseNudged) -> None:
     """Read an answer that says nothing."""
--- a/packages/peers/src/dragonflyknot/peers/controlwire.py
+++ b/packages/peers/src/dragonflyknot/peers/controlwire.py
@@ -9,6 +9,7 @@
     KeyRecord,
     PeerFreshness,
 )
+from dragonflyknot.decisions.leaserows import AnswerWitness
 from dragonflyknot.decisions.outage import StoreStatement
 from dragonflyknot.peers.badmessage import (
     MAX_KEY_RECORDS,
@@ -99,6 +100,7 @@
         workspace=answer.workspace,
         amount=answer.amount,
         holds=answer.holds,
+        full=answer.full,
     )
 
 
@@ -109,6 +111,23 @@
         checked_name('workspace', answer.workspace, empty=True),
         checked_amount('amount', answer.amount),
         answer.holds,
+        answer.full,
+    )
+
+
+def encode_witness_answer(answer: AnswerWitness) -> wire.WitnessAnswer:
+    """Return the wire form of a witness's answer."""
+    return wire.WitnessAnswer(
+        witness=answer.witness, holder=answer.holder, granted=answer.granted
+    )
+
+
+def decode_witness_answer(answer: wire.WitnessAnswer) -> AnswerWitness:
+    """Return a checked answer; raise `BadMessageError` otherwise."""
+    return AnswerWitness(
+        checked_name('witness', answer.witness, empty=True),
+        checked_name('holder', answer.holder),
+        answer.granted,
     )
 
 
--- a/packages/peers/src/dragonflyknot/peers/peercalls.py
+++ b/packages/peers/src/dragonflyknot/peers/peercalls.py
@@ -4,12 +4,14 @@
 
 from dragonflyknot.decisions import grants, ledger
 from dragonflyknot.decisions.calls import Attempt
+from dragonflyknot.decisions.leaserows import AnswerWitness
 from dragonflyknot.peers.controlclient import ControlClient
 from dragonflyknot.peers.directory import Directory
 
 RESOLVE_TIMEOUT_S = 0.5
 RESOLVE_TRIES = 3
 GRANT_TIMEOUT_S = 0.5
+WITNESS_TIMEOUT_S = 0.5
 
 
 class PeerCalls:
@@ -52,3 +54,19 @@
             address.control, request, GRANT_TIMEOUT_S
         )
         return answer.ok()
+
+    async def ask_witness(self, host: str, holder: str) -> AnswerWitness | None:
+        """Ask a witness for a short lease; none without an answer in time."""
+        address = self._directory.address(host)
+        if address is None:
+            return None
+        answer = await self._client.ask_witness(
+            address.control, holder, WITNESS_TIMEOUT_S
+        )
+        return answer.ok()
+
+    async def nudge(self, host: str) -> None:
+        """Tell a daemon to read the lease rows; it may get lost."""
+        address = self._directory.address(host)
+        if address is not None:
+            await self._client.nudge(address.control, WITNESS_TIMEOUT_S)
--- a/packages/peers/src/dragonflyknot/peers/wire/control_grpc.py
+++ b/packages/peers/src/dragonflyknot/peers/wire/control_grpc.py
@@ -42,6 +42,14 @@
     async def AnnounceWithdrawal(self, stream: 'grpclib.server.Stream[dragonflyknot.peers.wire.control_pb2.WithdrawalNotice, dragonflyknot.peers.wire.control_pb2.WithdrawalHeard]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def AskWitness(self, stream: 'grpclib.server.Stream[dragonflyknot.peers.wire.control_pb2.WitnessRequest, dragonflyknot.peers.wire.control_pb2.WitnessAnswer]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def NudgeLeases(self, stream: 'grpclib.server.Stream[dragonflyknot.peers.wire.control_pb2.LeaseNudge, dragonflyknot.peers.wire.control_pb2.LeaseNudged]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/dragonflyknot.control.Control/Gossip': grpclib.const.Handler(
@@ -86,6 +94,18 @@
                 dragonflyknot.peers.wire.control_pb2.WithdrawalNotice,
                 dragonflyknot.peers.wire.control_pb2.WithdrawalHeard,
             ),
+            '/dragonflyknot.control.Control/AskWitness': grpclib.const.Handler(
+                self.AskWitness,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                dragonflyknot.peers.wire.control_pb2.WitnessRequest,
+                dragonflyknot.peers.wire.control_pb2.WitnessAnswer,
+            ),
+            '/dragonflyknot.control.Control/NudgeLeases': grpclib.const.Handler(
+                self.NudgeLeases,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                dragonflyknot.peers.wire.control_pb2.LeaseNudge,
+                dragonflyknot.peers.wire.control_pb2.LeaseNudged,
+            ),
         }
 
 
@@ -134,3 +154,15 @@
             dragonflyknot.peers.wire.control_pb2.WithdrawalNotice,
             dragonflyknot.peers.wire.control_pb2.WithdrawalHeard,
         )
+        self.AskWitness = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/dragonflyknot.control.Control/AskWitness',
+            dragonflyknot.peers.wire.control_pb2.WitnessRequest,
+            dragonflyknot.peers.wire.control_pb2.WitnessAnswer,
+        )
+        self.NudgeLeases = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/dragonflyknot.control.Control/NudgeLeases',
+            dragonflyknot.peers.wire.control_pb2.LeaseNudge,
+            dragonflyknot.peers.wire.control_pb2.LeaseNudged,
+        )
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -12,6 +12,7 @@
 from dragonflyknot.decisions import grants, ledger, members, tickets
 from dragonflyknot.decisions import keyring as keys
 from dragonflyknot.decisions.document import Revision
+from dragonflyknot.decisions.leaserows import AnswerWitness
 from dragonflyknot.decisions.outage import StoreStatement
 from dragonflyknot.peers import gossipwire
 from dragonflyknot.peers.control import ControlServer
@@ -55,6 +56,7 @@
         self.withdrawn: list[str] = []
         self.released: list[tickets.Spending] = []
         self.delay_s: float = 0
+        self.nudges = 0
 
     async def gossip(self, message: members.Gossip) -> members.Gossip:
         await asyncio.sleep(self.delay_s)
@@ -85,6 +87,12 @@
     async def withdraw(self, key_hash: str) -> None:
         self.withdrawn.append(key_hash)
 
+    async def witness(self, holder: str) -> AnswerWitness:
+        return AnswerWitness('w/1', holder, granted=True)
+
+    async def nudge(self) -> None:
+        self.nudges += 1
+
 
 class ControlTest(testtools.TestCase):
     """Calls reach their handlers, and wrong ones a clear status."""
@@ -119,6 +127,11 @@
             self.assertEqual([SPENDING], self.handlers.released)
             await client.announce_withdrawal(address, DIGEST, 1)
             self.assertEqual([DIGEST], self.handlers.withdrawn)
+            granted = await client.ask_witness(address, 'h/1/1', 1)
+            expected = AnswerWitness('w/1', 'h/1/1', granted=True)
+            self.assertEqual(expected, granted.unwrap())
+            await client.nudge(address, 1)
+            self.assertEqual(1, self.handlers.nudges)
 
         self._run(body)
 
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -165,6 +165,18 @@
         pair.feed('b', LeaseTicked())
         self.assertFalse(pair.usable('b') and bool(pair.keepers['b'].held))
 
+    def test_a_short_lease_counts_from_before_it_was_asked_for(self) -> None:
+        pair = Pair('a', 'b', 'c')
+        pair.pass_time(6)
+        holder = pair.some_holder()
+        witness = pair.table.heartbeats[f'{holder}/1/1'].witness
+        pair.deaf |= {'a', 'b', 'c'} - {holder}
+        asked_at = pair.now
+        pair.pass_time(SETTINGS.witness_lease_s)
+        late = WitnessAnswered(witness, f'{holder}/1/1', asked_at, granted=True)
+        pair.feed(holder, late)
+        self.assertFalse(pair.usable(holder))
+
     def test_a_fenced_daemon_comes_back_with_a_new_term(self) -> None:
         pair = Pair('a', 'b')
         pair.pass_time(6)
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -12,6 +12,7 @@
     Workspace,
 )
 from dragonflyknot.decisions.grants import (
+    EDGE_VALIDITY_S,
     GrantAnswer,
     GrantRequest,
     Settlement,
@@ -238,6 +239,22 @@
         self.assertIsInstance(late.event, GrantAnswered)
         self.assertEqual([], joined.admitted)
 
+    def test_a_grant_counts_from_when_it_was_asked_for(self) -> None:
+        joined = network()
+        for _ in range(2):
+            joined.spend('c')
+        joined.deliver(0)
+        answer = next(
+            message.event
+            for message in joined.messages
+            if isinstance(message.event, GrantAnswered)
+        )
+        joined.messages.clear()
+        joined.pass_time(0.9)
+        joined.feed('c', answer)
+        self.assertIsNotNone(joined.quotas['c'].spend(WORKSPACE, 70.95))
+        self.assertIsNone(joined.quotas['c'].spend(WORKSPACE, 71.01))
+
     def test_a_doubled_answer_is_credited_once(self) -> None:
         joined = network()
         for _ in range(3):
@@ -280,6 +297,19 @@
         expected = GrantAnswer('x/1', WORKSPACE, 0, holds=False)
         self.assertEqual(GrantAnswered(expected), joined.messages[-1].event)
 
+    def test_a_new_holder_waits_for_the_grants_of_the_old_one(self) -> None:
+        joined = network()
+        joined.feed('a', GrantAsked(GrantRequest('x/1', WORKSPACE, 2)))
+        joined.feed('a', ShardLost(0))
+        joined.hold('c', 0)
+        joined.pass_time(EDGE_VALIDITY_S)
+        account = joined.quotas['c'].accounts_by_workspace.get(WORKSPACE)
+        self.assertIsNone(account)
+        spent = joined.quotas['c'].spend(WORKSPACE, joined.now + 50)
+        self.assertIsNone(spent)
+        account = joined.quotas['c'].accounts_by_workspace[WORKSPACE]
+        self.assertEqual(0, account.buckets_by_shard[0].level)
+
     def test_open_routes_have_a_rate_of_their_own(self) -> None:
         joined = network()
         for _ in range(8):
