--- a/packages/peers/src/dragonflyknot/peers/controlwire.py
+++ b/packages/peers/src/dragonflyknot/peers/controlwire.py
@@ -99,6 +99,7 @@
         workspace=answer.workspace,
         amount=answer.amount,
         holds=answer.holds,
+        full=answer.full,
     )
 
 
@@ -109,6 +110,7 @@
         checked_name('workspace', answer.workspace, empty=True),
         checked_amount('amount', answer.amount),
         answer.holds,
+        answer.full,
     )
 
 
--- a/tests/integration/test_control.py
+++ b/tests/integration/test_control.py
@@ -67,7 +67,7 @@
 
     async def grant(self, request: grants.GrantRequest) -> grants.GrantAnswer:
         return grants.GrantAnswer(
-            request.grant_id, request.workspace, request.amount / 2
+            request.grant_id, request.workspace, request.amount / 2, full=True
         )
 
     async def content(self, digest: str) -> bytes | None:
@@ -108,7 +108,8 @@
                 'g', 'w', 4, (grants.Settlement('f', 1, 2),)
             )
             grant = await client.ask_grant(address, request, 1)
-            self.assertEqual(grants.GrantAnswer('g', 'w', 2), grant.unwrap())
+            answered = grants.GrantAnswer('g', 'w', 2, full=True)
+            self.assertEqual(answered, grant.unwrap())
             content = await client.content(address, DIGEST, 1)
             self.assertEqual(b'content', content.unwrap())
             told = await client.keys(address, 0, 1)
