Tell at once where the sections of a revision are

Cause: with the store out of reach for all but one daemon, the others learned by chance who had installed a revision. Leaving no longer waits for a store that is out.

--- a/packages/daemon/src/dragonflyknot/daemon/registry.py
+++ b/packages/daemon/src/dragonflyknot/daemon/registry.py
@@ -1,7 +1,9 @@
 """Rows by which daemons find first peers; written on join and leave only."""
 
+import asyncio
 import random
 import secrets
+from contextlib import suppress
 from dataclasses import dataclass
 
 import structlog
@@ -19,6 +21,7 @@
 )
 
 MAX_ADDRESSES = 8
+LEAVE_TIMEOUT_S = 1.0
 NONCE_BYTES = 12
 
 _log = structlog.get_logger(__name__)
@@ -55,8 +58,10 @@
 
     async def __aexit__(self, *details: object) -> None:
         """Remove the rows unless a later process has replaced them."""
-        for row in self._rows:
-            await self._table.write(DeleteIf(row))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                for row in self._rows:
+                    await self._table.write(DeleteIf(row))
 
     async def serve(self, service: str) -> None:
         """Register the daemon under the service of its upstream."""
--- a/packages/decisions/src/dragonflyknot/decisions/membership.py
+++ b/packages/decisions/src/dragonflyknot/decisions/membership.py
@@ -296,6 +296,9 @@
         if event.service != own.service or event.state is not own.state:
             own = self._raised(own.counter + 1)
             self._urgent = True
+        if event.revision != own.revision:
+            # Peers that wait for its sections learn where they are.
+            self._urgent = True
         self._interests.own_service = event.service
         self._own = replace(
             own,
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -33,6 +33,8 @@
 ENVIRONMENT = 'trial'
 DOCUMENT = Path(__file__).parents[2] / 'examples' / 'jadeleaf.toml'
 WAIT_S = 8.0
+VOUCHED = keyring.Vouched('studio')
+WITHDRAWN = keyring.WithdrawnKey()
 
 
 class _Site:
@@ -48,9 +50,11 @@
         self.fleets: list[Fleet] = []
         self.stack = AsyncExitStack()
 
-    async def open(self, count: int) -> None:
+    async def open(self, count: int, *, one_reads: bool) -> None:
         for number in range(count):
             parts = self._parts(number)
+            if one_reads and number > 0:
+                parts.backend = _unreachable_backend()
             fleet = Fleet(parts)
             self.parts.append(parts)
             self.fleets.append(fleet)
@@ -58,6 +62,7 @@
 
     def _parts(self, number: int) -> FleetParts:
         requests, control = free_addresses(2)
+        first = self.parts[0].settings.control_listen if self.parts else ''
         settings = load_settings(
             {
                 'host': f'h{number}',
@@ -68,6 +73,7 @@
                 'control-listen': control,
                 'fleet-secret': 'a secret of the whole fleet',
                 'store-region': 'region0',
+                'seeds': first,
             },
             {},
         ).unwrap()
@@ -118,22 +124,14 @@
             keys = Keys(site.backend.table, ENVIRONMENT, system_clock())
             issued = (await keys.issue('studio')).unwrap()
             digest = hash_of_key(issued.key)
-            vouched = keyring.Vouched('studio')
-
-            def is_told(expected: object) -> bool:
-                return all(
-                    part.keyring.check(digest, time.monotonic()) == expected
-                    for part in site.parts
-                )
-
-            await _until(lambda: is_told(vouched))
+            await _until(lambda: _all_say(site, digest, VOUCHED))
             await _until(lambda: all(map(_knows_three, site.parts)))
             site.switches.down = True
             await asyncio.sleep(4)
-            self.assertTrue(is_told(vouched))
+            self.assertTrue(_all_say(site, digest, VOUCHED))
             announced = await site.fleets[1].announce_withdrawal(digest)
             self.assertTrue(announced.told >= announced.needed)
-            await _until(lambda: is_told(keyring.WithdrawnKey()))
+            await _until(lambda: _all_say(site, digest, WITHDRAWN))
             await site.fleets[0].__aexit__(None, None, None)
             await site.fleets[2].__aexit__(None, None, None)
             ring = site.parts[1].keyring
@@ -166,16 +164,51 @@
 
         self._run(body)
 
-    def _run(self, body: Callable[[_Site], Awaitable[None]]) -> None:
+    def test_one_daemon_that_reads_the_store_is_enough(self) -> None:
+        async def body(site: _Site) -> None:
+            document = parse(DOCUMENT.read_text()).unwrap()
+            change = Change(ENVIRONMENT, document, base=0, operator='o')
+            revisions = Revisions(site.backend, system_clock())
+            (await revisions.accept(change)).unwrap()
+            keys = Keys(site.backend.table, ENVIRONMENT, system_clock())
+            issued = (await keys.issue('studio')).unwrap()
+            digest = hash_of_key(issued.key)
+            await _until(lambda: all(map(_has_policy, site.parts)))
+            await _until(lambda: _all_say(site, digest, VOUCHED))
+            await keys.withdraw(issued.change.key_id)
+            await _until(lambda: _all_say(site, digest, WITHDRAWN))
+
+        self._run(body, one_reads=True)
+
+    def _run(
+        self,
+        body: Callable[[_Site], Awaitable[None]],
+        *,
+        one_reads: bool = False,
+    ) -> None:
         async def with_site() -> None:
             site = _Site()
             async with site.stack:
-                await site.open(4)
+                await site.open(4, one_reads=one_reads)
                 await body(site)
 
         run_async(with_site())
 
 
+def _unreachable_backend() -> Backend:
+    switches = Switches(down=True)
+    return Backend(
+        SettledTable(EmbeddedTable(switches)), EmbeddedObjects(switches)
+    )
+
+
+def _all_say(site: _Site, digest: str, expected: keyring.KeyCheck) -> bool:
+    now = time.monotonic()
+    return all(
+        part.keyring.check(digest, now) == expected for part in site.parts
+    )
+
+
 def _knows_three(parts: FleetParts) -> bool:
     return len(parts.directory.hosts()) >= 4
 
