Keep daemons of different environments apart

Cause: two environments with one fleet secret would have gossiped, and a daemon of one would have fetched the higher revision of the other. The control channel's secret now holds the environment.

--- a/packages/daemon/src/dragonflyknot/daemon/fleet.py
+++ b/packages/daemon/src/dragonflyknot/daemon/fleet.py
@@ -93,7 +93,7 @@
             service='',
             state=parts.own_state().state,
         )
-        self.client = ControlClient(settings.fleet_secret.get_secret_value())
+        self.client = ControlClient(_control_secret(settings))
         self.calls = PeerCalls(self.client, parts.directory)
         self.gossip = Gossip(
             GossipSettings(
@@ -149,7 +149,7 @@
             _Handlers(self, self._parts),
             host,
             port,
-            settings.fleet_secret.get_secret_value(),
+            _control_secret(settings),
         )
         async with AsyncExitStack() as stack:
             for part in (
@@ -314,6 +314,12 @@
     )
 
 
+def _control_secret(settings: Settings) -> str:
+    """Keep daemons of different environments apart, too."""
+    secret = settings.fleet_secret.get_secret_value()
+    return f'{settings.environment}/{secret}'
+
+
 def _followed(calls: str) -> tuple[str, ...]:
     return tuple(
         service for service in split_list(calls) if service != EVERY_SERVICE
--- a/packages/peers/src/dragonflyknot/peers/control.py
+++ b/packages/peers/src/dragonflyknot/peers/control.py
@@ -90,7 +90,8 @@
         if not hmac.compare_digest(secret.encode(), self._secret.encode()):
             raise GRPCError(
                 Status.UNAUTHENTICATED,
-                'The fleet secret is wrong; give all daemons the same secret.',
+                'The fleet secret or the environment differs; give all daemons'
+                ' of a fleet the same.',
             )
 
 
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -41,6 +41,7 @@
     """Hold daemons that share one table, two in each region."""
 
     def __init__(self) -> None:
+        self.environment = ENVIRONMENT
         self.switches = Switches()
         self.backend = Backend(
             SettledTable(EmbeddedTable(self.switches)),
@@ -51,7 +52,8 @@
         self.stack = AsyncExitStack()
 
     async def open(self, count: int, *, one_reads: bool) -> None:
-        for number in range(count):
+        begun = len(self.parts)
+        for number in range(begun, begun + count):
             parts = self._parts(number)
             if one_reads and number > 0:
                 parts.backend = _unreachable_backend()
@@ -68,7 +70,7 @@
                 'host': f'h{number}',
                 'data-center': f'dc{number}',
                 'region': f'region{number % 2}',
-                'environment': ENVIRONMENT,
+                'environment': self.environment,
                 'requests-listen': requests,
                 'control-listen': control,
                 'fleet-secret': 'a secret of the whole fleet',
@@ -164,6 +166,18 @@
 
         self._run(body)
 
+    def test_daemon_of_another_environment_stays_apart(self) -> None:
+        async def body(site: _Site) -> None:
+            site.environment = 'production'
+            await site.open(1, one_reads=False)
+            await asyncio.sleep(1.5)
+            stranger = site.parts[-1].settings.host
+            self.assertEqual((), site.parts[-1].directory.hosts()[1:])
+            for part in site.parts[:-1]:
+                self.assertNotIn(stranger, part.directory.hosts())
+
+        self._run(body)
+
     def test_one_daemon_that_reads_the_store_is_enough(self) -> None:
         async def body(site: _Site) -> None:
             document = parse(DOCUMENT.read_text()).unwrap()
