Keep the cost of a choice flat in large services

Cause: the router scanned every target of a service when a random draw found none, and once for each target when all were ejected.

--- a/packages/decisions/src/dragonflyknot/decisions/routing.py
+++ b/packages/decisions/src/dragonflyknot/decisions/routing.py
@@ -4,17 +4,18 @@
 first, then the own region; the other region only when no nearer target has
 room for that priority, and for large bodies only when no nearer gate admits
 them at all, since the link between regions is slow and paid for by volume.
-What a target is known to be stands in `targets.py`.
+The choice itself stands in `selection.py`, and
+what a target is known to be in `targets.py`.
 """
 
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from dragonflyknot.decisions.calls import LoadReport, UpstreamState
 from dragonflyknot.decisions.document import LOWEST_PRIORITY, OPEN_WORKSPACE
 from dragonflyknot.decisions.randomness import Randomness
 from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.decisions.selection import Choice, TargetGroup
 from dragonflyknot.decisions.targets import Claim, Distance, Ending, TargetState
 
 __all__ = (
@@ -28,7 +29,6 @@
     'TargetSeen',
 )
 
-DRAWS = 4
 MAX_EJECTED_SHARE = 0.5
 RETRY_AFTER_S = 1.0
 
@@ -94,22 +94,6 @@
     retry_after_s: float
 
 
-@dataclass(slots=True)
-class _Group:
-    """Hold the targets of one service by distance."""
-
-    by_distance: dict[Distance, list[TargetState]] = field(
-        default_factory=lambda: {distance: [] for distance in Distance}
-    )
-
-    def targets(self) -> list[TargetState]:
-        """Return all targets, nearest first."""
-        return [one for tier in self.by_distance.values() for one in tier]
-
-
-_Test = Callable[[TargetState], bool]
-
-
 class Router:
     """Choose targets for the attempts of one daemon."""
 
@@ -120,7 +104,7 @@
         self._data_center = data_center
         self._region = region
         self._targets_by_host: dict[str, TargetState] = {}
-        self._groups_by_service: dict[str, _Group] = {}
+        self._groups_by_service: dict[str, TargetGroup] = {}
 
     def handle(self, event: Event, now: float) -> None:
         """Take an event."""
@@ -153,7 +137,7 @@
         if group is None:
             return NoTarget(Refusal.NO_UPSTREAM, RETRY_AFTER_S)
         claim = Claim(workspace, priority)
-        choice = _Choice(group, claim, excluded, now, rng)
+        choice = Choice(group, claim, excluded, now, rng)
         target = choice.best(large)
         if target is None:
             return NoTarget(choice.refusal(), RETRY_AFTER_S)
@@ -197,8 +181,8 @@
             state=event.state,
         )
         self._targets_by_host[event.host] = target
-        group = self._groups_by_service.setdefault(event.service, _Group())
-        group.by_distance[target.distance].append(target)
+        group = self._groups_by_service.setdefault(event.service, TargetGroup())
+        group.add(target)
         return target
 
     def _forget(self, host: str) -> None:
@@ -206,8 +190,8 @@
         if target is None:
             return
         group = self._groups_by_service[target.service]
-        group.by_distance[target.distance].remove(target)
-        if not group.targets():
+        group.remove(target)
+        if not group.everyone:
             self._groups_by_service.pop(target.service)
 
     def _send(self, event: AttemptSent) -> None:
@@ -233,7 +217,7 @@
             target.eject(now)
 
     def _may_eject(self, target: TargetState, now: float) -> bool:
-        everyone = self._groups_by_service[target.service].targets()
+        everyone = self._groups_by_service[target.service].everyone
         ejected = sum(1 for one in everyone if one.ejected_until > now)
         return ejected + 1 <= len(everyone) * MAX_EJECTED_SHARE
 
@@ -247,139 +231,6 @@
         return Distance.REGION if region == self._region else Distance.FAR
 
 
-@dataclass(frozen=True, slots=True)
-class _Choice:
-    """Find the target of one attempt."""
-
-    group: _Group
-    claim: Claim
-    excluded: frozenset[str]
-    now: float
-    rng: Randomness
-
-    def best(self, large: bool) -> TargetState | None:
-        """Return the best target for a small or a large body."""
-        far = (Distance.FAR,)
-        near = (Distance.REGION, Distance.DATA_CENTER)
-        tiers = (
-            ((Distance.DATA_CENTER,), self._prompt),
-            ((Distance.REGION,), self._prompt),
-            *_far_order(large, far, near, self),
-            (tuple(Distance), self._suspect),
-            (tuple(Distance), self._only_ejected),
-        )
-        for distances, test in tiers:
-            pool = self._pool(distances)
-            target = self._draw(pool, test)
-            if target is not None:
-                return target
-        return None
-
-    def is_invited(self, target: TargetState) -> bool:
-        """Return whether the last report of the target admits the attempt."""
-        report = target.report
-        return report is None or report.prompt <= self.claim.priority
-
-    def refusal(self) -> Refusal:
-        """Return why no target was found."""
-        everyone = self.group.targets()
-        if any(one.accepts() for one in everyone):
-            return Refusal.SHED
-        if any(one.state is UpstreamState.DRAINING for one in everyone):
-            return Refusal.DRAINING
-        return Refusal.NO_UPSTREAM
-
-    def _pool(self, distances: tuple[Distance, ...]) -> list[TargetState]:
-        if len(distances) == 1:
-            return self.group.by_distance[distances[0]]
-        return [
-            one
-            for distance in distances
-            for one in self.group.by_distance[distance]
-        ]
-
-    def _draw(self, pool: list[TargetState], test: _Test) -> TargetState | None:
-        """Return the less loaded of two random targets that pass a test."""
-        if len(pool) > DRAWS:
-            drawn = [self._any(pool) for _ in range(DRAWS)]
-            passing = [one for one in drawn if test(one)]
-            if passing:
-                return min(passing[:2], key=self._load)
-        passing = [one for one in pool if test(one)]
-        if len(passing) > 2:
-            first = self._any(passing)
-            passing.remove(first)
-            passing = [first, self._any(passing)]
-        return min(passing, key=self._load, default=None)
-
-    def _any(self, pool: list[TargetState]) -> TargetState:
-        return pool[self.rng.randrange(len(pool))]
-
-    def _load(self, target: TargetState) -> float:
-        return target.load(self.now)
-
-    def _usable(self, target: TargetState) -> bool:
-        if target.host in self.excluded or not target.accepts():
-            return False
-        if not target.is_healthy(self.now):
-            return False
-        return self.rng.random() < target.return_share(self.now)
-
-    def _prompt(self, target: TargetState) -> bool:
-        prompt = target.is_prompt(self.claim.priority, self.now)
-        refused = target.has_refused(self.claim, self.now)
-        return prompt and not refused and self._usable(target)
-
-    def _open(self, target: TargetState) -> bool:
-        """Accept a target that did not refuse the same lately."""
-        refused = target.has_refused(self.claim, self.now)
-        return not refused and self._admitting(target)
-
-    def _admitting(self, target: TargetState) -> bool:
-        return self._usable(target) and target.admits(
-            self.claim.priority, self.now
-        )
-
-    def _only_ejected(self, target: TargetState) -> bool:
-        """Accept an ejected target once all others have left."""
-        return (
-            target.host not in self.excluded
-            and target.accepts()
-            and all(
-                one.ejected_until > self.now
-                for one in self.group.targets()
-                if one.accepts()
-            )
-        )
-
-    def _suspect(self, target: TargetState) -> bool:
-        """Accept a suspect target, but never one that is ejected."""
-        return (
-            target.host not in self.excluded
-            and target.accepts()
-            and self.now >= target.ejected_until
-            and target.admits(self.claim.priority, self.now)
-        )
-
-
-def _far_order(
-    large: bool,
-    far: tuple[Distance, ...],
-    near: tuple[Distance, ...],
-    choice: _Choice,
-) -> tuple[tuple[tuple[Distance, ...], _Test], ...]:
-    prompt = (far, choice._prompt)
-    near_open = (near, choice._open)
-    rest = (
-        (far, choice._open),
-        (near, choice._admitting),
-        (far, choice._admitting),
-    )
-    if large:
-        return (near_open, prompt, *rest)
-    return (prompt, near_open, *rest)
-
-
 def _is_replaced(known: TargetState, event: TargetSeen) -> bool:
     return (
         known.incarnation != event.incarnation
