--- /dev/null
+++ b/measure/experiments/surge.py
@@ -0,0 +1,310 @@
+"""Surges, a flood and a slow deep service against real daemons.
+
+Four daemon processes with fake upstreams on loopback, at a reduced size:
+few slots and long service times, so that the harness can send ten times the
+capacity. The baseline is the same load sent straight to the same upstreams
+in turn, without daemons. Callers retry hard and ignore Retry-After.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+import aiohttp
+
+from experiments.figures import Figures
+from experiments.load import STEP_S, Stream, Wish
+from experiments.ratios import (
+    Window,
+    goodput_ratio,
+    important_ratio,
+    recovery_seconds,
+    worst_workspace_ratio,
+)
+from harness.caller import Shot, ShotResult, shoot
+from harness.fleet import Fleet, HostSpec
+from harness.upstream import Upstream
+
+SLOTS = 6
+SERVICE_TIME_S = 0.2
+TIMEOUT_MS = 2000
+WORKSPACES = ('ash', 'birch', 'cedar', 'elm')
+WARM_UP_S = 3.0
+STEADY_LOAD = 0.6
+IMPORTANT_LOAD = 0.25
+SENDS = 3
+RESEND_S = 0.05
+SLOW_FACTOR = 10
+WINDOW = Window(WARM_UP_S, WARM_UP_S + 4)
+TAIL_S = 2.0
+
+PLACES = (
+    ('dc1', 'north'),
+    ('dc2', 'north'),
+    ('dc3', 'south'),
+    ('dc4', 'south'),
+)
+FRONTS = tuple(
+    HostSpec(f'front-{dc}', dc, region, 'front', SLOTS, SERVICE_TIME_S)
+    for dc, region in PLACES
+)
+FRONTS_AND_DEEP = (
+    *FRONTS[::2],
+    *(
+        HostSpec(f'deep-{dc}', dc, region, 'deep', SLOTS, SERVICE_TIME_S / 4)
+        for dc, region in PLACES[::2]
+    ),
+)
+PREFIXES_BY_PRIORITY = {9: '/orders', 5: '/status', 1: '/guides'}
+
+DOCUMENT = '\n'.join(
+    (
+        '[keys]\nfreshness_seconds = 2\n[open]\nrate = 10\nburst = 10',
+        *(
+            f'[workspaces.{name}]\nrate = 100000\nburst = 100000'
+            for name in WORKSPACES
+        ),
+        '[services.front]\nqueue_limit = 8\nqueue_wait_ms = 250',
+        '[services.deep]\nqueue_limit = 8\nqueue_wait_ms = 250',
+        *(
+            '[[routes]]\nservice = "front"\nmethod = "GET"\n'
+            f'prefix = "{prefix}"\npriority = {priority}\n'
+            f'timeout_ms = {TIMEOUT_MS}\nretries = 2'
+            for priority, prefix in PREFIXES_BY_PRIORITY.items()
+        ),
+        '[[routes]]\nservice = "deep"\nmethod = "GET"\nprefix = "/deep"\n'
+        f'priority = 5\ntimeout_ms = {TIMEOUT_MS}\nretries = 2',
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Describe one run; `slow` is called with a factor around the window."""
+
+    name: str
+    specs: tuple[HostSpec, ...]
+    streams: tuple[Stream, ...]
+    capacity_slots: float
+    is_deep_slow: bool = False
+
+
+@dataclass(slots=True)
+class _Senders:
+    """Send the wishes of all streams and keep what became of them."""
+
+    session: aiohttp.ClientSession
+    edges: list[str]
+    keys_by_workspace: dict[str, str]
+    rng: random.Random
+    began: float = field(default_factory=time.monotonic)
+    wishes: list[Wish] = field(default_factory=list)
+    results: list[ShotResult] = field(default_factory=list)
+    _turn: int = 0
+
+    async def run(self, streams: tuple[Stream, ...]) -> None:
+        """Send until the tail after the window has passed."""
+        async with asyncio.TaskGroup() as group:
+            for stream in streams:
+                group.create_task(self._stream(stream, group))
+
+    @property
+    def now(self) -> float:
+        """Return the seconds since the start."""
+        return time.monotonic() - self.began
+
+    async def _stream(self, stream: Stream, group: asyncio.TaskGroup) -> None:
+        due = float(0)
+        while due < WINDOW.end + TAIL_S:
+            rate = stream.rate(due)
+            wait_s = self.rng.expovariate(rate) if rate else STEP_S
+            due += min(wait_s, STEP_S)
+            await asyncio.sleep(max(0, due - self.now))
+            if wait_s < STEP_S:
+                wish = Wish(stream, self.now, (stream.mean_s,))
+                self.wishes.append(wish)
+                group.create_task(self._follow(wish))
+
+    async def _follow(self, wish: Wish) -> None:
+        stream = wish.stream
+        for _ in range(stream.sends):
+            result = await self._shoot(stream)
+            self.results.append(result)
+            if result.is_whole:
+                wish.served_at = self.now
+                return
+            await asyncio.sleep(RESEND_S * self.rng.uniform(1, 2))
+
+    async def _shoot(self, stream: Stream) -> ShotResult:
+        self._turn += 1
+        edge = self.edges[self._turn % len(self.edges)]
+        shot = Shot(
+            'GET',
+            PREFIXES_BY_PRIORITY[stream.priority],
+            deeper=stream.plan[1:],
+            timeout_ms=TIMEOUT_MS,
+        )
+        key = self.keys_by_workspace[stream.workspace]
+        try:
+            async with asyncio.timeout(TIMEOUT_MS / 1000):
+                return await shoot(self.session, edge, key, shot)
+        except TimeoutError:
+            return ShotResult(shot.tag, 0, 'timeout')
+
+
+def run(seed: int, quick: bool) -> tuple[Figures, ...]:
+    """Run every scenario; return the figures of each."""
+    return asyncio.run(_run_all(seed, quick))
+
+
+async def _run_all(seed: int, quick: bool) -> tuple[Figures, ...]:
+    chosen = [one for one in _scenarios() if not quick or '10x' in one.name]
+    return tuple([await _pair(one, seed) for one in chosen])
+
+
+async def _pair(scenario: Scenario, seed: int) -> Figures:
+    measured = await _measure(scenario, seed, with_daemons=True)
+    if scenario.is_deep_slow:
+        return measured
+    baseline = await _measure(scenario, seed, with_daemons=False)
+    return replace(measured, baseline=baseline)
+
+
+async def _measure(
+    scenario: Scenario, seed: int, *, with_daemons: bool
+) -> Figures:
+    async with AsyncExitStack() as stack:
+        fleet = Fleet(list(scenario.specs), DOCUMENT)
+        await stack.enter_async_context(fleet)
+        connector = aiohttp.TCPConnector(limit=0)
+        session = aiohttp.ClientSession(connector=connector)
+        await stack.enter_async_context(session)
+        keys = {name: await fleet.issue_key(name) for name in WORKSPACES}
+        edges = [
+            fleet.callers(spec.host)
+            if with_daemons
+            else fleet.addresses_by_host[spec.host].service
+            for spec in scenario.specs
+            if spec.service == 'front'
+        ]
+        await asyncio.sleep(3)
+        senders = _Senders(session, edges, keys, random.Random(seed))
+        causes = asyncio.create_task(_slow_down(scenario, fleet))
+        await senders.run(scenario.streams)
+        await causes
+        return _figures(
+            scenario, senders, list(fleet.upstreams_by_host.values())
+        )
+
+
+async def _slow_down(scenario: Scenario, fleet: Fleet) -> None:
+    if not scenario.is_deep_slow:
+        return
+    await asyncio.sleep(WINDOW.start)
+    _set_slowness(fleet, SLOW_FACTOR)
+    await asyncio.sleep(WINDOW.end - WINDOW.start)
+    _set_slowness(fleet, 1)
+
+
+def _set_slowness(fleet: Fleet, factor: float) -> None:
+    for upstream in fleet.upstreams_by_host.values():
+        if upstream.spec.service == 'deep':
+            upstream.slow_factor = factor
+
+
+def _figures(
+    scenario: Scenario, senders: _Senders, upstreams: list[Upstream]
+) -> Figures:
+    wishes = senders.wishes
+    slots = scenario.capacity_slots
+    ran = {tag for one in upstreams for tag in one.ledger.runs_by_tag}
+    results = senders.results
+    return Figures(
+        scenario.name,
+        goodput_ratio=goodput_ratio(wishes, WINDOW, slots),
+        important_ratio=important_ratio(wishes, WINDOW),
+        recovery_seconds=recovery_seconds(wishes, WINDOW.end),
+        worst_workspace_ratio=worst_workspace_ratio(wishes, WINDOW, slots),
+        false_not_run=sum(
+            one.outcome == 'not-run' and one.tag in ran for one in results
+        ),
+        torn=sum(one.is_torn for one in results),
+    )
+
+
+def _scenarios() -> Iterator[Scenario]:
+    capacity = len(FRONTS) * SLOTS
+    for peak in (2, 10):
+        yield Scenario(
+            f'surge-{peak}x-real',
+            FRONTS,
+            tuple(_mixed(partial(_surge, peak), capacity)),
+            capacity,
+        )
+    yield Scenario('flood-10x-real', FRONTS, tuple(_flood(capacity)), capacity)
+    yield Scenario(
+        'deep-slow-real',
+        FRONTS_AND_DEEP,
+        tuple(_two_routes(capacity / 2)),
+        capacity / 2,
+        is_deep_slow=True,
+    )
+
+
+def _surge(peak: float, moment: float) -> float:
+    return peak if WINDOW.has(moment) else STEADY_LOAD
+
+
+def _constant(load: float, moment: float) -> float:
+    return load
+
+
+def _mixed(load: Callable[[float], float], capacity: float) -> Iterator[Stream]:
+    def lesser(moment: float) -> float:
+        return (load(moment) - IMPORTANT_LOAD) / 2
+
+    for workspace in WORKSPACES:
+        important = partial(_constant, IMPORTANT_LOAD)
+        yield _stream(workspace, 9, important, capacity)
+        yield _stream(workspace, 5, lesser, capacity)
+        yield _stream(workspace, 1, lesser, capacity)
+
+
+def _flood(capacity: float) -> Iterator[Stream]:
+    yield _stream(WORKSPACES[0], 5, partial(_surge, 10), capacity)
+    for workspace in WORKSPACES[1:]:
+        yield _stream(workspace, 5, partial(_constant, 0.9), capacity)
+
+
+def _two_routes(capacity: float) -> Iterator[Stream]:
+    for workspace in WORKSPACES:
+        shallow = _stream(workspace, 5, partial(_constant, 0.3), capacity)
+        deeper = _stream(workspace, 1, partial(_constant, 0.3), capacity)
+        yield shallow
+        yield replace(deeper, plan=('front', '/deep'))
+
+
+def _stream(
+    workspace: str,
+    priority: int,
+    load: Callable[[float], float],
+    capacity: float,
+) -> Stream:
+    full_rate = capacity / SERVICE_TIME_S / len(WORKSPACES)
+
+    def rate(moment: float) -> float:
+        return load(moment) * full_rate
+
+    return Stream(
+        workspace=workspace,
+        priority=priority,
+        rate=rate,
+        plan=('front',),
+        mean_s=SERVICE_TIME_S,
+        timeout_s=TIMEOUT_MS / 1000,
+        sends=SENDS,
+    )
