Show the volume between two regions as one figure

Cause: daemons count what an edge exchanged with another region, requests and answers, so that the page's arrow between regions was wrong: reels that went from south to north stood as north to south. Found by looking at the page of four real daemons under load.

Conclusion: the direction of the volume is not measured yet.

--- a/packages/operators/src/dragonflyknot/operators/dump.py
+++ b/packages/operators/src/dragonflyknot/operators/dump.py
@@ -103,7 +103,8 @@
 class Dump(DumpModel):
     """Hold the state of one daemon.
 
-    `link_bytes` counts the bytes sent to each other region.
+    `link_bytes` counts the bytes of requests and answers that this edge
+    exchanged with each other region.
     """
 
     host: str
--- a/packages/operators/src/dragonflyknot/operators/room.py
+++ b/packages/operators/src/dragonflyknot/operators/room.py
@@ -120,7 +120,7 @@
     """Return the JSON members of a snapshot."""
     members = asdict(snapshot)
     members['link_bytes_by_pair'] = {
-        '->'.join(ends): volume
+        '-'.join(ends): volume
         for ends, volume in snapshot.link_bytes_by_pair.items()
     }
     return members
--- a/packages/operators/src/dragonflyknot/operators/roompage.py
+++ b/packages/operators/src/dragonflyknot/operators/roompage.py
@@ -106,7 +106,8 @@
 def _links(snapshot: Snapshot) -> Iterator[str]:
     for ends, volume in sorted(snapshot.link_bytes_by_pair.items()):
         yield (
-            f'<div><small>{escape(ends[0])} &rarr; {escape(ends[1])}</small>'
+            f'<div><small>{escape(ends[0])} &ndash; {escape(ends[1])}, both'
+            ' ways</small>'
             f'<b>{megabits(volume):.1f}</b> Mbit/s</div>'
         )
 
--- a/packages/operators/src/dragonflyknot/operators/roomtext.py
+++ b/packages/operators/src/dragonflyknot/operators/roomtext.py
@@ -89,7 +89,7 @@
     )
     yield from map(_service_text, snapshot.services)
     for ends, volume in sorted(snapshot.link_bytes_by_pair.items()):
-        yield f'link {ends[0]} -> {ends[1]}: {megabits(volume):.2f} Mbit/s'
+        yield f'link {ends[0]} - {ends[1]}: {megabits(volume):.2f} Mbit/s'
     yield f'keys at most {_seconds(snapshot.keys_age_s)} old'
     yield (
         f'store: {snapshot.reads:.1f} reads/s, {snapshot.writes:.1f} writes/s'
--- a/packages/operators/src/dragonflyknot/operators/snapshot.py
+++ b/packages/operators/src/dragonflyknot/operators/snapshot.py
@@ -65,8 +65,8 @@
 class Snapshot:
     """Hold the picture that every viewer sees under one number.
 
-    `link_bytes_by_pair` is in bytes a second from region to region, and
-    `keys_age_s` the greatest age of a copy of the keys.
+    `link_bytes_by_pair` is in bytes a second between two regions, both ways,
+    and `keys_age_s` the greatest age of a copy of the keys.
     """
 
     number: int
@@ -224,12 +224,17 @@
     for pair in pairs:
         old = pair.before.link_bytes if pair.before else {}
         for region, count in pair.dump.link_bytes.items():
-            ends = (pair.dump.region, region)
+            ends = _link(pair.dump.region, region)
             rate = pair.rate(count, old.get(region, 0))
             rate_by_pair[ends] = rate_by_pair.get(ends, 0) + rate
     return rate_by_pair
 
 
+def _link(one: str, other: str) -> tuple[str, str]:
+    """Return both regions in order, whichever of them asked."""
+    return (one, other) if one <= other else (other, one)
+
+
 def _keys_age(dumps: Iterable[Dump]) -> float | None:
     ages = [dump.keys.age_s for dump in dumps]
     known = [age for age in ages if age is not None]
