--- a/measure/harness/relay.py
+++ b/measure/harness/relay.py
@@ -13,6 +13,7 @@
 from harness.addresses import free_addresses
 
 CHUNK_BYTES = 16 * 1024
+BACKLOG_CONNECTIONS = 2048
 
 
 @unique
@@ -147,7 +148,7 @@
         """Listen."""
         number, _, port = self.address.rpartition(':')
         self._server = await asyncio.start_server(
-            self._accept, number, int(port)
+            self._accept, number, int(port), backlog=BACKLOG_CONNECTIONS
         )
         return self
 
--- a/measure/harness/upstream.py
+++ b/measure/harness/upstream.py
@@ -44,6 +44,7 @@
     workspaces_by_tag: dict[str, str] = field(default_factory=dict)
     leaked_keys: int = 0
     cancelled: int = 0
+    shed: int = 0
     most_at_once: int = 0
 
 
@@ -127,6 +128,7 @@
             self._running -= 1
 
     def _shed(self) -> web.Response:
+        self.ledger.shed += 1
         head = {names.OUTCOME: Outcome.NOT_RUN.value, names.RETRY_AFTER: '1'}
         return web.Response(status=503, headers=head)
 
