--- a/measure/experiments/surge.py
+++ b/measure/experiments/surge.py
@@ -13,6 +13,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field, replace
 from functools import partial
+from types import MappingProxyType
 
 import aiohttp
 
@@ -59,7 +60,9 @@
         for dc, region in PLACES[::2]
     ),
 )
-PREFIXES_BY_PRIORITY = {9: '/orders', 5: '/status', 1: '/guides'}
+PREFIXES_BY_PRIORITY = MappingProxyType(
+    {9: '/orders', 5: '/status', 1: '/guides'}
+)
 
 DOCUMENT = '\n'.join(
     (
--- a/packages/daemon/src/dragonflyknot/daemon/options.py
+++ b/packages/daemon/src/dragonflyknot/daemon/options.py
@@ -56,5 +56,4 @@
     Option('statsd', 'IP:port of statsd; empty for none', ''),
     Option('drain-seconds', 'Longest wait for requests at a stop', '60'),
     Option('log-level', 'debug, info, warning or error', 'info'),
-    Option('policies', 'on, or off for the measured baseline', 'on'),
 )
--- a/packages/daemon/src/dragonflyknot/daemon/settings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/settings.py
@@ -84,7 +84,6 @@
     statsd: _OptionalAddress
     drain_seconds: _DrainSeconds
     log_level: Literal['debug', 'info', 'warning', 'error']
-    policies: Literal['on', 'off']
 
     @property
     def peers_requests(self) -> str:
