--- a/packages/peers/src/dragonflyknot/peers/controlwire.py
+++ b/packages/peers/src/dragonflyknot/peers/controlwire.py
@@ -9,6 +9,7 @@
     KeyRecord,
     PeerFreshness,
 )
+from dragonflyknot.decisions.leaserows import AnswerWitness
 from dragonflyknot.decisions.outage import StoreStatement
 from dragonflyknot.peers.badmessage import (
     MAX_KEY_RECORDS,
@@ -114,6 +115,22 @@
     )
 
 
+def encode_witness_answer(answer: AnswerWitness) -> wire.WitnessAnswer:
+    """Return the wire form of a witness's answer."""
+    return wire.WitnessAnswer(
+        witness=answer.witness, holder=answer.holder, granted=answer.granted
+    )
+
+
+def decode_witness_answer(answer: wire.WitnessAnswer) -> AnswerWitness:
+    """Return a checked answer; raise `BadMessageError` otherwise."""
+    return AnswerWitness(
+        checked_name('witness', answer.witness, empty=True),
+        checked_name('holder', answer.holder),
+        answer.granted,
+    )
+
+
 def encode_keys(told: KeysTold) -> wire.KeysAnswer:
     """Return the wire form of keys, their freshness and the statement."""
     encoded = wire.KeysAnswer(
