Ask the witnesses without waiting for the next read of the store

Cause: with a store that hangs, the questions to the witnesses waited for each read's timeout, and copies went stale at the onset.

--- a/packages/daemon/src/dragonflyknot/daemon/keysync.py
+++ b/packages/daemon/src/dragonflyknot/daemon/keysync.py
@@ -16,6 +16,7 @@
 
 from dragonflyknot.daemon.tasks import Tasks
 from dragonflyknot.decisions.keyring import (
+    READ_AFTER_S,
     KeyChanges,
     KeyRecord,
     Keyring,
@@ -37,7 +38,7 @@
 )
 
 TICK_S = 0.2
-READ_TIMEOUT_S = 0.8
+READ_TIMEOUT_S = 0.6
 READ_KEPT_S = 3.0
 ASK_TIMEOUT_S = 0.5
 
@@ -87,6 +88,7 @@
         """Start to keep the copy fresh."""
         await self._tasks.__aenter__()
         self._tasks.start(self._run())
+        self._tasks.start(self._run_witnesses())
         return self
 
     async def __aexit__(self, *details: object) -> None:
@@ -171,7 +173,6 @@
             case Err(error):
                 self._failed_at = time.monotonic()
                 _log.warning('keys_not_read', reason=str(error))
-                await self._ask_witnesses()
 
     async def _read_store(self) -> Result[_StoreRead, ReadError]:
         try:
@@ -212,13 +213,30 @@
         changes = KeyChanges(since, reached, tuple(records))
         return Ok(_StoreRead(changes, sequence))
 
-    async def _ask_witnesses(self) -> None:
-        await asyncio.gather(
-            *(
-                self._ask_witness(host, address)
-                for host, address in self._addresses_by_witness.items()
-            )
-        )
+    async def _run_witnesses(self) -> None:
+        """Ask while the store fails, without waiting for its next read."""
+        while True:
+            now = time.monotonic()
+            is_old = self._keyring.age_s(now) > READ_AFTER_S
+            if self._failed_at is not None and is_old:
+                await asyncio.gather(
+                    *(
+                        self._ask_witness(host, address)
+                        for host, address in self._addresses_by_witness.items()
+                    )
+                )
+                self._judge()
+            await asyncio.sleep(TICK_S)
+
+    async def _ask_witness(self, host: str, address: str) -> None:
+        asked_at = time.monotonic()
+        told = await self._fetch(address)
+        if told is None:
+            return
+        self._witnesses.hear(host, told.statement, asked_at)
+        self._judge()
+
+    def _judge(self) -> None:
         now = time.monotonic()
         if self._own_witness:
             self._witnesses.hear(self._own_witness, self._statement(), now)
@@ -226,12 +244,6 @@
         if agreed_at is not None:
             self._keyring.confirm_by_outage(agreed_at)
 
-    async def _ask_witness(self, host: str, address: str) -> None:
-        asked_at = time.monotonic()
-        told = await self._fetch(address)
-        if told is not None:
-            self._witnesses.hear(host, told.statement, asked_at)
-
     async def _catch_up(self, address: str) -> None:
         await self._fetch(address)
 
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -128,6 +128,9 @@
             digest = hash_of_key(issued.key)
             await _until(lambda: _all_say(site, digest, VOUCHED))
             await _until(lambda: all(map(_knows_three, site.parts)))
+            site.switches.delay_s = 30
+            await asyncio.sleep(4)
+            self.assertTrue(_all_say(site, digest, VOUCHED))
             site.switches.down = True
             await asyncio.sleep(4)
             self.assertTrue(_all_say(site, digest, VOUCHED))
