--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -131,6 +131,7 @@
             site.switches.delay_s = 30
             await asyncio.sleep(4)
             self.assertTrue(_all_say(site, digest, VOUCHED))
+            site.switches.delay_s = 0
             site.switches.down = True
             await asyncio.sleep(4)
             self.assertTrue(_all_say(site, digest, VOUCHED))
