Tell from the last call whether the store is up

Cause: the dump's table_up and objects_up stood at true for ever, so that the room never showed 'store out at'. The clients note whether their last call was answered, and the daemon passes it on.

Conclusion: operators see an outage; a store that nobody calls keeps the state of its last call.

--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -92,11 +92,9 @@
         await self._stack.aclose()
 
     @property
-    def usage(self) -> Usage:
-        """Return the reads and writes of the platform's services."""
-        table = self._backend.table.usage
-        objects = self._backend.objects.usage
-        return Usage(table.reads + objects.reads, table.writes + objects.writes)
+    def usages(self) -> tuple[Usage, Usage]:
+        """Return the use of the table service and of the object store."""
+        return self._backend.table.usage, self._backend.objects.usage
 
     def in_flight(self) -> int:
         """Return the number of requests in flight."""
--- a/packages/daemon/src/dragonflyknot/daemon/status.py
+++ b/packages/daemon/src/dragonflyknot/daemon/status.py
@@ -103,7 +103,7 @@
         services=_services(daemon, now),
         link_bytes=dict(daemon.router.link_bytes_by_region),
         keys=_keys(daemon, now),
-        store=StoreDump(reads=daemon.usage.reads, writes=daemon.usage.writes),
+        store=_store(daemon),
         taken_at=time.time(),
     )
 
@@ -177,3 +177,13 @@
         age_s=keyring.age_s(now) if keyring.sequence else None,
         bound_s=keyring.bound_s,
     )
+
+
+def _store(daemon: 'Daemon') -> StoreDump:
+    table, objects = daemon.usages
+    return StoreDump(
+        reads=table.reads + objects.reads,
+        writes=table.writes + objects.writes,
+        table_up=table.is_up,
+        objects_up=objects.is_up,
+    )
--- a/packages/platform/src/dragonflyknot/platform/dynamodb.py
+++ b/packages/platform/src/dragonflyknot/platform/dynamodb.py
@@ -1,6 +1,6 @@
 """Client of a table service by the DynamoDB protocol."""
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Sequence
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Any, Final, Self
@@ -32,6 +32,7 @@
     bounded,
     client_context,
     read_error,
+    was_answered,
 )
 from dragonflyknot.platform.writes import Row, RowKey, Write
 
@@ -76,7 +77,7 @@
             Key=key_item(key),
             ConsistentRead=True,
         )
-        match await bounded(TABLE, call, self._settings.deadline_s):
+        match await self._answer_to(call):
             case Ok(response):
                 return _decoded_row(response.get('Item'))
             case Err(error):
@@ -92,7 +93,7 @@
             Limit=PAGE_ROWS,
             **query_members(partition, since),
         )
-        match await bounded(TABLE, call, self._settings.deadline_s):
+        match await self._answer_to(call):
             case Ok(response):
                 self.usage.reads += max(1, len(_items(response)))
                 return _decoded_page(response)
@@ -109,7 +110,7 @@
             'Delete': self._client.delete_item,
         }
         call = calls[operation](**members)
-        match await bounded(TABLE, call, self._settings.deadline_s):
+        match await self._answer_to(call):
             case Ok():
                 return Ok(None)
             case Err(error):
@@ -125,12 +126,19 @@
         call = self._client.transact_write_items(
             TransactItems=[self._action(write) for write in writes]
         )
-        match await bounded(TABLE, call, self._settings.deadline_s):
+        match await self._answer_to(call):
             case Ok():
                 return Ok(None)
             case Err(error):
                 return Err(_write_error(error, writes))
 
+    async def _answer_to(
+        self, call: Awaitable[Response]
+    ) -> Result[Response, WireError]:
+        answer = await bounded(TABLE, call, self._settings.deadline_s)
+        self.usage.is_up = was_answered(answer)
+        return answer
+
     def _action(self, write: Write) -> Response:
         operation, members = write_members(write, self._settings.table)
         return {operation: members}
--- a/packages/platform/src/dragonflyknot/platform/embedded.py
+++ b/packages/platform/src/dragonflyknot/platform/embedded.py
@@ -73,7 +73,7 @@
 
     async def get(self, key: RowKey) -> Result[Row | None, ReadError]:
         """Return the row under a key, or none."""
-        match await _admitted(self.switches, TABLE):
+        match await _admitted(self.switches, self.usage, TABLE):
             case Unavailable() as error:
                 return Err(error)
         self.usage.reads += 1
@@ -83,7 +83,7 @@
         self, partition: str, since: str = ''
     ) -> Result[Page, ReadError]:
         """Return the rows of a partition whose sort is beyond `since`."""
-        match await _admitted(self.switches, TABLE):
+        match await _admitted(self.switches, self.usage, TABLE):
             case Unavailable() as error:
                 return Err(error)
         page = self._partition(partition).page(since)
@@ -98,7 +98,7 @@
         self, writes: Sequence[Write]
     ) -> Result[None, PlatformError]:
         """Write all rows, or none if a condition does not hold."""
-        match await _admitted(self.switches, TABLE):
+        match await _admitted(self.switches, self.usage, TABLE):
             case Unavailable() as error:
                 return Err(error)
         match fault_of(writes):
@@ -148,7 +148,7 @@
 
     async def get(self, key: str) -> Result[bytes | None, ReadError]:
         """Return the content under a key, or none."""
-        match await _admitted(self.switches, OBJECTS):
+        match await _admitted(self.switches, self.usage, OBJECTS):
             case Unavailable() as error:
                 return Err(error)
         self.usage.reads += 1
@@ -158,7 +158,7 @@
         self, key: str, content: bytes
     ) -> Result[None, PlatformError]:
         """Store content under a key unless the key exists."""
-        match await _admitted(self.switches, OBJECTS):
+        match await _admitted(self.switches, self.usage, OBJECTS):
             case Unavailable() as error:
                 return Err(error)
         self.usage.writes += 1
@@ -182,9 +182,12 @@
     return current is not None and current.nonce == expected.nonce
 
 
-async def _admitted(switches: Switches, service: str) -> Unavailable | None:
+async def _admitted(
+    switches: Switches, usage: Usage, service: str
+) -> Unavailable | None:
     if switches.delay_s > 0:
         await asyncio.sleep(switches.delay_s)
+    usage.is_up = not switches.down
     if switches.down:
         return Unavailable(service, 'switched down')
     return None
--- a/packages/platform/src/dragonflyknot/platform/interfaces.py
+++ b/packages/platform/src/dragonflyknot/platform/interfaces.py
@@ -29,10 +29,14 @@
 
 @dataclass(slots=True)
 class Usage:
-    """Count the rows and objects that were read and written."""
+    """Count the rows and objects that were read and written.
+
+    `is_up` says whether the last call was answered in time.
+    """
 
     reads: int = 0
     writes: int = 0
+    is_up: bool = True
 
 
 class Table(Protocol):
--- a/packages/platform/src/dragonflyknot/platform/s3.py
+++ b/packages/platform/src/dragonflyknot/platform/s3.py
@@ -4,9 +4,10 @@
 answer needs no read-back.
 """
 
+from collections.abc import Awaitable
 from contextlib import AsyncExitStack
 from types import TracebackType
-from typing import Any, Final, Self
+from typing import Any, Final, Self, TypeVar
 
 from result import Err, Ok, Result
 
@@ -25,6 +26,7 @@
     bounded,
     client_context,
     read_error,
+    was_answered,
 )
 
 OBJECTS: Final = 'object store'
@@ -34,6 +36,8 @@
 )
 MAX_SENDS: Final = 3
 
+_Answer = TypeVar('_Answer')
+
 
 class S3Objects:
     """Hold the client of one bucket; a context manager."""
@@ -66,7 +70,7 @@
         """Return the content under a key, or none."""
         self.usage.reads += 1
         call = self._read(key)
-        match await bounded(OBJECTS, call, self._settings.deadline_s):
+        match await self._answer_to(call):
             case Ok(content):
                 return Ok(content)
             case Err(Refusal(code)) if code in ABSENT_CODES:
@@ -89,7 +93,7 @@
         """Say whether a key exists."""
         self.usage.reads += 1
         call = self._client.head_object(Bucket=self._settings.bucket, Key=key)
-        match await bounded(OBJECTS, call, self._settings.deadline_s):
+        match await self._answer_to(call):
             case Ok():
                 return Ok(True)
             case Err(Refusal(code)) if code in ABSENT_CODES:
@@ -97,6 +101,13 @@
             case Err(error):
                 return Err(read_error(OBJECTS, error))
 
+    async def _answer_to(
+        self, call: Awaitable[_Answer]
+    ) -> Result[_Answer, WireError]:
+        answer = await bounded(OBJECTS, call, self._settings.deadline_s)
+        self.usage.is_up = was_answered(answer)
+        return answer
+
     async def _read(self, key: str) -> bytes:
         response = await self._client.get_object(
             Bucket=self._settings.bucket, Key=key
@@ -115,7 +126,7 @@
             Body=content,
             IfNoneMatch='*',
         )
-        match await bounded(OBJECTS, call, self._settings.deadline_s):
+        match await self._answer_to(call):
             case Ok():
                 return Ok(None)
             case Err(Refusal(code)) if code in PRESENT_CODES:
--- a/packages/platform/src/dragonflyknot/platform/wire.py
+++ b/packages/platform/src/dragonflyknot/platform/wire.py
@@ -98,6 +98,11 @@
         return Err(_sorted_failure(service, error))
 
 
+def was_answered(answer: Result[object, WireError]) -> bool:
+    """Say whether the service answered, if only to refuse."""
+    return answer.is_ok() or isinstance(answer.err(), Refusal)
+
+
 def read_error(service: str, error: WireError) -> ReadError:
     """Return the error of a read, which has no effect to be lost."""
     match error:
--- a/tests/integration/test_operators_fleet.py
+++ b/tests/integration/test_operators_fleet.py
@@ -13,6 +13,7 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 from asyncrun import run_async
+from dragonflyknot.operators.dump import Dump
 from dragonflyknot.operators.main import application
 from harness.fleet import Fleet, HostSpec
 
@@ -47,6 +48,15 @@
             self.assertIn('harbour-audio', dump)
             self.assertEqual(json.loads(status)['revision'], 2)
             self.assertNotIn(key, dump + room + status)
+            await self._see_outage(fleet)
+
+    async def _see_outage(self, fleet: Fleet) -> None:
+        await fleet.switch_platform(down=True)
+        is_up = True
+        while is_up:
+            dump = Dump.model_validate(await fleet.dump('host-1'))
+            is_up = dump.store.table_up
+            await asyncio.sleep(0.1)
 
     async def _promote(self, fleet: Fleet, path: str) -> None:
         tried = json.loads(await _run(fleet, 'try', path, '--json', seeds=0))
--- a/tests/integration/test_standin.py
+++ b/tests/integration/test_standin.py
@@ -137,8 +137,10 @@
             self.assertIsInstance(read, Unavailable)
             wrote = (await backend.table.write(PUT)).unwrap_err()
             self.assertIsInstance(wrote, AnswerLost)
+            self.assertFalse(backend.table.usage.is_up)
             standin.table_switches.down = False
             self.assertEqual(await backend.table.get(KEY), Ok(None))
+            self.assertTrue(backend.table.usage.is_up)
 
         against_standin(body)
 
@@ -193,6 +195,7 @@
             self.assertIsInstance(read, Unavailable)
             wrote = (await backend.objects.put('a', b'x')).unwrap_err()
             self.assertIsInstance(wrote, AnswerLost)
+            self.assertFalse(backend.objects.usage.is_up)
 
         against_standin(body)
 
