--- a/packages/decisions/src/dragonflyknot/decisions/concurrency.py
+++ b/packages/decisions/src/dragonflyknot/decisions/concurrency.py
@@ -157,8 +157,10 @@
                 window.failed += 1
                 self._sample(priority, latency, now)
         elapsed_s = now - window.opened_at
+        # A ramp goes on after each round of the slots that are in use.
+        enough = self.limit if self._ramping else WINDOW_SAMPLES
         if elapsed_s >= WINDOW_S and (
-            window.done >= WINDOW_SAMPLES or elapsed_s >= 10 * WINDOW_S
+            window.done >= enough or elapsed_s >= 10 * WINDOW_S
         ):
             self._decide(window, elapsed_s, now)
             self._window = _Window(now)
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -132,3 +132,10 @@
             done = admission.Finished(f'{number}', 0.01, Verdict.REFUSED)
             gate.handle(done, number / 100)
         self.assertTrue(gate.report().limit < 80)
+
+    def test_a_start_counts_against_its_workspace_before_it_ends(self) -> None:
+        gate = _gate(slots=2)
+        for name, workspace in (('1', 'a'), ('2', 'a'), ('3', 'a'), ('4', 'b')):
+            _arrive(gate, name, workspace=workspace)
+        done = admission.Finished('1', 0.01, Verdict.SUCCEEDED)
+        self.assertEqual((Start('4'),), gate.handle(done, 0.01))
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -120,6 +120,8 @@
         router = _router(NEAR, FAR)
         _end(router, NEAR, Ending.DONE)
         _end(router, FAR, Ending.DONE, count=2)
+        again = routing.AttemptEnded(FAR, f'{FAR}-1', Ending.DONE, None, 50)
+        router.handle(again, 0)
         self.assertEqual(200, router.link_bytes)
 
     def test_a_state_seen_in_an_answer_outlives_older_gossip(self) -> None:
