Ask for tokens by what waits, and take over after one second

Cause: an edge counted fractions and expected mintings as tokens for a request that waits, and borrowers let fractions expire.

--- a/packages/decisions/src/dragonflyknot/decisions/accounts.py
+++ b/packages/decisions/src/dragonflyknot/decisions/accounts.py
@@ -150,8 +150,9 @@
         for bucket in buckets:
             bucket.refill(now)
         fullest = max(buckets, key=lambda one: one.level)
-        # Whole tokens save the borrower from gathering fractions.
-        if fullest.level >= 1:
+        # A fraction would lie idle at the borrower, unless the bucket can
+        # never hold a whole token.
+        if fullest.burst >= 1:
             amount = min(amount, floor(fullest.level))
         return fullest.lend(grant_id, amount, now)
 
--- a/packages/decisions/src/dragonflyknot/decisions/leaserows.py
+++ b/packages/decisions/src/dragonflyknot/decisions/leaserows.py
@@ -31,9 +31,9 @@
     shards: int = 16
     lease_s: float = 300
     renew_s: float = 20
-    witness_lease_s: float = 2
-    witness_ask_s: float = 0.5
-    witness_silent_s: float = 0.7
+    witness_lease_s: float = 1
+    witness_ask_s: float = 0.25
+    witness_silent_s: float = 0.4
     margin_s: float = 0.3
     poll_s: float = 5
     retry_s: float = 1
--- a/packages/decisions/src/dragonflyknot/decisions/quota.py
+++ b/packages/decisions/src/dragonflyknot/decisions/quota.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
-from math import ceil
+from math import ceil, floor
 
 from dragonflyknot.decisions.accounts import Account, OpenAsk, Waiter
 from dragonflyknot.decisions.buckets import LENDER_VALIDITY_S, Bucket
@@ -243,7 +243,7 @@
                 amount = min(
                     max(even, _SMALLEST_ASK),
                     ceil(missing),
-                    self._share(account, holder),
+                    ceil(self._share(account, holder)),
                 )
                 missing -= amount
                 yield self._ask_holder(account, holder.host, amount, now)
@@ -275,14 +275,16 @@
     def _missing(self, account: Account, now: float) -> float:
         usable = now < self._usable_until
         horizon_s = self._settings.horizon_s
-        ahead = min(account.demand, account.limits.rate) * horizon_s
+        # A rare request waits for its own token, so that none lies idle.
+        ahead = floor(min(account.demand, account.limits.rate) * horizon_s)
         minted = account.minting_rate(usable) * horizon_s
         stock = account.stock(now, usable) + account.expected(now)
-        wanted = len(account.waiters) + ahead - stock - minted
+        urgent = len(account.waiters) - stock
+        wanted = urgent + ahead - minted
         # Half the stock is left before more is asked for, to save messages.
-        if not account.waiters and wanted < ahead / 2:
-            return 0
-        return wanted
+        if wanted < ahead / 2:
+            return urgent
+        return max(urgent, wanted)
 
     def _ask_holder(
         self, account: Account, host: str, amount: float, now: float
@@ -305,7 +307,7 @@
             eager = account.settles_eagerly(host)
             if not eager and now - told_at < settings.settle_s:
                 continue
-            ahead = account.demand * settings.horizon_s * 2
+            ahead = floor(account.demand * settings.horizon_s * 2)
             surplus = account.holdings.total(now) - ahead
             settlements = account.holdings.settle(host, surplus, now)
             if settlements:
--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from dragonflyknot.decisions.heartbeats import Heartbeat
 from dragonflyknot.decisions.leaserows import (
     AskWitness,
     CandidatesChanged,
@@ -285,6 +286,44 @@
         self.assertFalse(self.fenced(SETTINGS.lease_s + 1))
 
 
+class HeartbeatTest(testtools.TestCase):
+    """Count on no right that a lost answer may have ended."""
+
+    def test_an_unresolved_change_of_witness_needs_both(self) -> None:
+        heartbeat = Heartbeat(candidate('a'), SETTINGS)
+        heartbeat.change_candidates((candidate('b'),))
+        (asked,) = heartbeat.tick(0, wanted=True)
+        assert isinstance(asked, AskWitness)
+        first = WitnessAnswered('b/1', heartbeat.holder, 0, granted=True)
+        heartbeat.answered(first, 0)
+        (created,) = heartbeat.tick(0.1, wanted=True)
+        assert isinstance(created, WriteHeartbeat)
+        heartbeat.written(created.row)
+        heartbeat.change_candidates((candidate('c'),))
+        list(heartbeat.tick(0.6, wanted=True))
+        heartbeat.answered(
+            WitnessAnswered('c/1', heartbeat.holder, 0.6, granted=True), 0.6
+        )
+        list(heartbeat.tick(0.7, wanted=True))
+        self.assertTrue(heartbeat.unresolved)
+        self.assertEqual(SETTINGS.witness_lease_s, heartbeat.usable_until())
+        heartbeat.answered(
+            WitnessAnswered('b/1', heartbeat.holder, 5, granted=True), 5
+        )
+        both = 0.6 + SETTINGS.witness_lease_s
+        self.assertEqual(both, heartbeat.usable_until())
+
+    def test_a_renewal_counts_from_its_first_try(self) -> None:
+        heartbeat = Heartbeat(candidate('a'), SETTINGS)
+        (created,) = heartbeat.tick(10, wanted=True)
+        assert isinstance(created, WriteHeartbeat)
+        heartbeat.unanswered(created.row, 50)
+        (again,) = heartbeat.tick(60, wanted=True)
+        self.assertEqual(created, again)
+        heartbeat.written(created.row)
+        self.assertEqual(10 + SETTINGS.lease_s, heartbeat.usable_until())
+
+
 class PlacementTest(testtools.TestCase):
     """Spread shards over hosts and regions."""
 
