--- a/tests/integration/test_promise_overload.py
+++ b/tests/integration/test_promise_overload.py
@@ -1,13 +1,30 @@
 """What is shed, retried and admitted when demand outruns capacity."""
 
 import asyncio
+import signal
 import time
 from dataclasses import replace
 
 import testtools
 
+from dragonflyknot.daemon.leasetable import LeaseTable
+from dragonflyknot.decisions.leaserows import (
+    LeaseSettings,
+    RowsRead,
+    ShardRow,
+)
 from harness.caller import Shot
-from promisesite import EDGE, NORTH, PROFILE, SOUTH, Site, until, with_site
+from harness.fleet import ENVIRONMENT
+from promisesite import (
+    EDGE,
+    NORTH,
+    PROFILE,
+    SOUTH,
+    Site,
+    SiteCase,
+    until,
+    with_site,
+)
 
 SMALL_RATE = 16
 SMALL_BURST = 16
@@ -70,27 +87,77 @@
         with_site(body, EDGE, NORTH, SOUTH, PROFILE)
 
 
-class RateTest(testtools.TestCase):
+class RateTest(SiteCase):
     """No workspace receives more than its rate and burst over all hosts.
 
     Fails when each daemon counts on its own.
     """
 
+    specs = (EDGE, NORTH, SOUTH)
+
     def test_rate_is_counted_over_all_edges(self) -> None:
         async def body(site: Site) -> None:
-            before = site.runs().total()
-            began = time.monotonic()
-            edges = ('edge', 'north', 'south')
+            meter = _Meter(site)
             for _ in range(8):
-                shots = [Shot('GET', '/auditions/1') for _ in range(20)]
-                await asyncio.gather(
-                    *(site.shoot_all(shots, edge, 'small') for edge in edges)
-                )
-                await asyncio.sleep(0.1)
-            elapsed_s = time.monotonic() - began
-            admitted = site.runs().total() - before
-            most = SMALL_RATE * elapsed_s + SMALL_BURST
-            self.assertTrue(admitted <= most, f'{admitted} of {most}')
-            self.assertTrue(admitted > 0)
-
-        with_site(body, EDGE, NORTH, SOUTH)
+                await meter.press('edge', 'north', 'south')
+            self._assert_within(meter)
+
+        self.on_site(body)
+
+    def test_holder_paused_past_its_lease_mints_no_more(self) -> None:
+        async def body(site: Site) -> None:
+            await until(lambda: self._holds_shards(site, 'south'))
+            paused = site.fleet.daemons_by_host['south']
+            meter = _Meter(site)
+            await meter.press('edge', 'north', 'south')
+            paused.send(signal.SIGSTOP)
+            await until(lambda: self._are_taken(site, 'south'))
+            for _ in range(10):
+                await meter.press('edge', 'north')
+            paused.send(signal.SIGCONT)
+            for _ in range(10):
+                await meter.press('edge', 'north', 'south')
+            self._assert_within(meter)
+
+        self.on_site(body)
+
+    def _assert_within(self, meter: '_Meter') -> None:
+        elapsed_s = time.monotonic() - meter.began
+        most = SMALL_RATE * elapsed_s + SMALL_BURST
+        admitted = meter.admitted()
+        self.assertTrue(0 < admitted <= most, f'{admitted} of {most}')
+
+    async def _holds_shards(self, site: Site, host: str) -> bool:
+        return any(shard.daemon.startswith(host) for shard in await _rows(site))
+
+    async def _are_taken(self, site: Site, host: str) -> bool:
+        rows = await _rows(site)
+        return not any(shard.daemon.startswith(host) for shard in rows)
+
+
+class _Meter:
+    """Press on the rate of one workspace and count what ran."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+        self._before = site.runs().total()
+        self.began = time.monotonic()
+
+    async def press(self, *edges: str) -> None:
+        shots = [Shot('GET', '/auditions/1') for _ in range(20)]
+        await asyncio.gather(
+            *(self._site.shoot_all(shots, edge, 'small') for edge in edges)
+        )
+        await asyncio.sleep(0.1)
+
+    def admitted(self) -> int:
+        return self._site.runs().total() - self._before
+
+
+async def _rows(site: Site) -> tuple[ShardRow, ...]:
+    table = LeaseTable(site.fleet.backend.table, ENVIRONMENT, LeaseSettings())
+    match await table.read(0):
+        case RowsRead(shards=shards):
+            return shards
+        case _:
+            return ()
