--- a/measure/slopes/flow.py
+++ b/measure/slopes/flow.py
@@ -26,7 +26,7 @@
 MICROSECONDS = 1_000_000
 
 
-def measure() -> Iterator[Slope]:
+def measure(large: bool) -> Iterator[Slope]:
     """Yield every slope of the request path's decisions."""
     yield _slope('gate: arrive, report and finish', _admit)
     yield _slope('gate: arrive at a full queue and shed', _shed)
@@ -122,13 +122,3 @@
         budget.may_retry(now, 'w')
         budget.succeeded(now, 'w')
         pool.seal()
-
-
-def main() -> None:
-    """Print every slope."""
-    for slope in measure():
-        print(f'{slope.name:48}{slope.figure:10.2f} {slope.unit}')
-
-
-if __name__ == '__main__':
-    main()
--- a/measure/slopes/main.py
+++ b/measure/slopes/main.py
@@ -1,6 +1,7 @@
 """Measure every slope that docs/CAPACITY.md is worked out from.
 
-Each module named in `MODULES` offers `slopes()`. `--only` runs some of them.
+Each module named in `MODULES` offers `measure(large)`. `--only` runs some of them;
+`--large` adds gossip at 21,000 members, which takes four minutes.
 """
 
 import argparse
@@ -21,14 +22,15 @@
 class Slopes(Protocol):
     """Offer a group of slopes."""
 
-    def slopes(self) -> Iterable[Slope]:
-        """Measure the group."""
+    def measure(self, large: bool) -> Iterable[Slope]:
+        """Measure the group, at the largest size too."""
 
 
 def main() -> None:
     """Run what the command line asks for and print the slopes."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--only', action='append', choices=MODULES)
+    parser.add_argument('--large', action='store_true')
     options = parser.parse_args()
     measured: list[Slope] = []
     for name in options.only or MODULES:
@@ -36,7 +38,9 @@
         if find_spec(path) is None:
             print(f'{name}: not in this tree, not run')
             continue
-        measured.extend(cast(Slopes, import_module(path)).slopes())
+        measured.extend(
+            cast(Slopes, import_module(path)).measure(options.large)
+        )
     for slope in measured:
         print(f'{slope.figure:>12.4g} {slope.unit:<12}{slope.name}')
     if not options.only:
--- a/measure/slopes/requests.py
+++ b/measure/slopes/requests.py
@@ -24,7 +24,7 @@
 KB_PER_MB = 1000
 
 
-def slopes() -> list[Slope]:
+def measure(large: bool) -> list[Slope]:
     """Measure what a request, a connection and an idle second cost."""
     return asyncio.run(_slopes())
 
--- a/measure/slopes/state.py
+++ b/measure/slopes/state.py
@@ -1,10 +1,9 @@
 """Slopes of membership, keys, ledger, claims and tickets.
 
 State machines alone, in virtual time and from one seed; the wire's part is
-measured over loopback. `python -m slopes.state` prints all of them.
+measured over loopback.
 """
 
-import argparse
 import asyncio
 import random
 import time
@@ -59,8 +58,9 @@
         return self.sampled_bytes / max(self.sampled, 1)
 
 
-def measure(sizes: tuple[int, ...]) -> Iterator[Slope]:
+def measure(large: bool) -> Iterator[Slope]:
     """Yield every slope, with gossip at each size of the fleet."""
+    sizes = (*WHOLE_SIZES, *(LARGE_SIZES if large else LARGE_SIZES[:1]))
     call_bytes = asyncio.run(measure_call_bytes())
     yield Slope('control call beyond its messages', 'bytes', call_bytes)
     for size in sizes:
@@ -241,17 +241,3 @@
         spending = tickets.Spending(ticket, 'w', f'{number:024x}')
         guard.spend(spending, 0)
     return guard
-
-
-def main() -> None:
-    """Print the slopes; `--large` adds the largest fleet."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--large', action='store_true')
-    is_large = parser.parse_args().large
-    sizes = (*WHOLE_SIZES, *(LARGE_SIZES if is_large else LARGE_SIZES[:1]))
-    for slope in measure(sizes):
-        print(f'{slope.figure:12.4g} {slope.unit:11} {slope.name}', flush=True)
-
-
-if __name__ == '__main__':
-    main()
