--- a/measure/slopes/callbytes.py
+++ b/measure/slopes/callbytes.py
@@ -1,6 +1,7 @@
-"""Measure the bytes that a control call costs beyond its two messages."""
+"""Measure what a control call costs beyond its two messages."""
 
 import asyncio
+import time
 
 from dragonflyknot.decisions import grants, ledger, members, tickets
 from dragonflyknot.decisions.keyring import KeyChanges, PeerFreshness
@@ -13,7 +14,8 @@
 from harness.addresses import free_addresses
 from harness.gossipfleet import build_member
 
-CALLS = 200
+CALLS = 500
+MICROSECONDS = 1_000_000
 CHUNK_BYTES = 65536
 TIMEOUT_S = 2.0
 RELAY_END_S = 0.1
@@ -108,6 +110,22 @@
     return passed_bytes - 2 * encode_gossip(message).ByteSize()
 
 
+async def measure_call_us() -> float:
+    """Return the processor time of a call, client and server together."""
+    address = free_addresses(1)[0]
+    host, _, port = address.rpartition(':')
+    message = members.Gossip(build_member(1, 's'))
+    async with (
+        ControlServer(_Echo(), host, int(port), SECRET),
+        ControlClient(SECRET) as client,
+    ):
+        await _call(client, address, message)
+        began = time.process_time()
+        for _ in range(CALLS):
+            await _call(client, address, message)
+        return (time.process_time() - began) / CALLS * MICROSECONDS
+
+
 async def _call(
     client: ControlClient, address: str, message: members.Gossip
 ) -> None:
--- a/measure/slopes/main.py
+++ b/measure/slopes/main.py
@@ -1,7 +1,7 @@
 """Measure every slope that docs/CAPACITY.md is worked out from.
 
-Each module named in `MODULES` offers `measure(large)`. `--only` runs some of them;
-`--large` adds gossip at 21,000 members, which takes four minutes.
+Each module named in `MODULES` offers `measure(large)`. `--only` runs some of
+them; `--large` adds gossip at 21,000 members, which takes four minutes.
 """
 
 import argparse
--- a/measure/slopes/state.py
+++ b/measure/slopes/state.py
@@ -18,7 +18,7 @@
 from dragonflyknot.decisions.membership import PROBE_INTERVAL_S, Membership
 from dragonflyknot.peers.gossipwire import encode_gossip
 from harness.gossipfleet import GossipFleet, build_member
-from slopes.callbytes import measure_call_bytes
+from slopes.callbytes import measure_call_bytes, measure_call_us
 from slopes.slope import Slope
 
 SEED = 1
@@ -63,6 +63,8 @@
     sizes = (*WHOLE_SIZES, *(LARGE_SIZES if large else LARGE_SIZES[:1]))
     call_bytes = asyncio.run(measure_call_bytes())
     yield Slope('control call beyond its messages', 'bytes', call_bytes)
+    call_us = asyncio.run(measure_call_us())
+    yield Slope('control call, client and server together', 'us', call_us)
     for size in sizes:
         yield from _gossip(size, call_bytes)
         yield _key_reads(size)
