Mint a workspace by as many shards as its burst feeds

Cause: the tokens of a small workspace lay about in fractions over all shards. Its layout now follows its burst; a holder mints the least share of all layouts since the last one that every shard row named, so the parts never add up to more than the whole, whatever revisions daemons follow.

--- a/measure/experiments/ratefleet.py
+++ b/measure/experiments/ratefleet.py
@@ -21,6 +21,7 @@
     CandidatesChanged,
     DeleteHeartbeat,
     HeartbeatRow,
+    LayoutInstalled,
     LeaseEvent,
     LeaseSettings,
     LeaseTicked,
@@ -53,6 +54,7 @@
     GrantAnswered,
     GrantAsked,
     HoldersChanged,
+    LayoutConfirmed,
     LeaseExtended,
     RateEvent,
     RefuseRate,
@@ -156,10 +158,18 @@
 
     def start(self) -> None:
         """Begin to tick."""
-        self.rate(ConfigurationInstalled(self.fleet.configuration))
+        self.install(self.fleet.configuration)
         self._tick_rates()
         self._tick_leases()
 
+    def install(self, configuration: Configuration) -> None:
+        """Put a revision in force at this daemon."""
+        self.rate(ConfigurationInstalled(configuration))
+        layout = self.quota.layout
+        assert layout is not None
+        number = configuration.revision.number
+        self.lease(LayoutInstalled(number, layout.digest))
+
     def rate(self, event: RateEvent) -> None:
         """Feed the quota and carry out its commands."""
         for command in self.quota.handle(event, self.clock()):
@@ -194,7 +204,12 @@
                 case LeaseExtended(until):
                     self.usable_until = until
                     self.rate(command)
-                case ShardGained() | ShardLost() | HoldersChanged():
+                case (
+                    ShardGained()
+                    | ShardLost()
+                    | LayoutConfirmed()
+                    | HoldersChanged()
+                ):
                     self.rate(command)
                 case StopFinished():
                     self.alive = False
--- a/packages/daemon/src/dragonflyknot/daemon/leasetable.py
+++ b/packages/daemon/src/dragonflyknot/daemon/leasetable.py
@@ -50,6 +50,8 @@
 
     holder: str
     daemon: str
+    revision: int
+    layout: str
 
 
 class _HeartbeatBody(BaseModel):
@@ -151,7 +153,12 @@
         match write:
             case WriteShard(row, expected):
                 key = RowKey(self._shards, f'{row.shard:0{SHARD_DIGITS}}')
-                body = _ShardBody(holder=row.holder, daemon=row.daemon)
+                body = _ShardBody(
+                    holder=row.holder,
+                    daemon=row.daemon,
+                    revision=row.revision,
+                    layout=row.layout,
+                )
                 return self._conditional(key, expected, body)
             case WriteHeartbeat(heartbeat, expected):
                 key = RowKey(self._heartbeats, heartbeat.holder)
@@ -207,7 +214,14 @@
 
 def _shard_row(row: Row) -> ShardRow:
     body = _ShardBody.model_validate_json(row.body)
-    return ShardRow(int(row.key.sort), body.holder, body.daemon, row.version)
+    return ShardRow(
+        int(row.key.sort),
+        body.holder,
+        body.daemon,
+        row.version,
+        body.revision,
+        body.layout,
+    )
 
 
 def _heartbeat_row(row: Row) -> HeartbeatRow:
--- a/packages/daemon/src/dragonflyknot/daemon/rates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/rates.py
@@ -93,6 +93,7 @@
         self._waiting_by_id: dict[str, asyncio.Future[Spent | RateRefused]] = {}
         self._tasks = Tasks()
         self._agreed = False
+        self._revision = 0
         self._busy = asyncio.Event()
         self._stopped = asyncio.Event()
         self._begin(settings.incarnation)
@@ -155,6 +156,8 @@
     def configure(self, configuration: Configuration) -> None:
         """Put the limits of a revision in force."""
         self._feed_rate(rate.ConfigurationInstalled(configuration))
+        self._revision = configuration.revision.number
+        self._follow_layout()
 
     def member_changed(self, member: Member) -> None:
         """Take in a member that is new or changed."""
@@ -200,12 +203,20 @@
         self._keeper = LeaseKeeper(me, settings.leases)
         self._members_by_host[me.host] = me
         self._choose_candidates()
+        self._follow_layout()
 
     async def _begin_again(self, incarnation: int) -> None:
         await self._stopped.wait()
         self._stopped.clear()
         self._begin(incarnation)
 
+    def _follow_layout(self) -> None:
+        layout = self.quota.layout
+        if layout is not None:
+            self._feed_lease(
+                lease.LayoutInstalled(self._revision, layout.digest)
+            )
+
     def _choose_candidates(self) -> None:
         candidates = select_candidates(
             self._members_by_host.values(), self._settings.candidates
--- a/packages/decisions/src/dragonflyknot/decisions/leaserows.py
+++ b/packages/decisions/src/dragonflyknot/decisions/leaserows.py
@@ -11,6 +11,7 @@
 from dragonflyknot.decisions.placement import Candidate
 from dragonflyknot.decisions.ratemessages import (
     HoldersChanged,
+    LayoutConfirmed,
     LeaseExtended,
     ShardGained,
     ShardLost,
@@ -41,12 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardRow:
-    """Name the holder of a shard and its process."""
+    """Name the holder of a shard, its process and its layout.
+
+    The layout of `revision` is the one that the holder follows.
+    """
 
     shard: int
     holder: str
     daemon: str
     epoch: int
+    revision: int = 0
+    layout: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +141,7 @@
     | StopFinished
     | ShardGained
     | ShardLost
+    | LayoutConfirmed
     | LeaseExtended
     | HoldersChanged
 )
@@ -182,6 +189,14 @@
     candidates: tuple[Candidate, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LayoutInstalled:
+    """Follow the layout of a revision; the quota was told before."""
+
+    revision: int
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class WitnessAsked:
     """Receive a holder's request for a short lease."""
@@ -221,6 +236,7 @@
     | RowRefused
     | RowUnanswered
     | CandidatesChanged
+    | LayoutInstalled
     | WitnessAsked
     | WitnessAnswered
     | Nudged
--- a/packages/decisions/src/dragonflyknot/decisions/leases.py
+++ b/packages/decisions/src/dragonflyknot/decisions/leases.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
+from dataclasses import replace
 
 from dragonflyknot.decisions.heartbeats import Heartbeat
 from dragonflyknot.decisions.leaserows import (
@@ -15,6 +16,7 @@
     AnswerWitness,
     CandidatesChanged,
     HeartbeatRow,
+    LayoutInstalled,
     LeaseCommand,
     LeaseEvent,
     LeaseSettings,
@@ -44,6 +46,7 @@
 from dragonflyknot.decisions.ratemessages import (
     Holder,
     HoldersChanged,
+    LayoutConfirmed,
     LeaseExtended,
     ShardGained,
     ShardLost,
@@ -71,6 +74,7 @@
         self._changed_at = float('-inf')
         self._usable_until = float(0)
         self._holders: tuple[Holder, ...] = ()
+        self._layout: LayoutInstalled | None = None
         self._stopping = False
         self._stopped = False
 
@@ -105,6 +109,9 @@
             case CandidatesChanged(candidates):
                 self._candidates = candidates
                 self._heartbeat.change_candidates(candidates)
+            case LayoutInstalled():
+                self._layout = event
+                yield from self._rewrite_layouts()
             case WitnessAsked(holder):
                 granted = self._witness.ask(holder, now)
                 yield AnswerWitness(self._me.daemon, holder, granted)
@@ -169,12 +176,14 @@
             yield from self._take(now)
             yield from self._hand_over()
             yield from self._clean(now)
+            yield from self._rewrite_layouts()
+        yield from self._confirm_layout()
 
     def _adopt(self) -> Iterator[LeaseCommand]:
         for shard, row in self._rows_by_shard.items():
             mine = row.holder == self._heartbeat.holder
             held = self._epochs_by_held.get(shard)
-            if held is not None and (not mine or row.epoch != held):
+            if held is not None and (not mine or row.epoch < held):
                 yield from self._drop(shard)
             if mine:
                 yield from self._adopt_own(row)
@@ -213,10 +222,43 @@
                 self._writing_shards.discard(row.shard)
 
     def _hold(self, row: ShardRow) -> Iterator[LeaseCommand]:
-        if not self._stopping and row.shard not in self._epochs_by_held:
-            self._epochs_by_held[row.shard] = row.epoch
+        if self._stopping:
+            return
+        is_new = row.shard not in self._epochs_by_held
+        self._epochs_by_held[row.shard] = row.epoch
+        if is_new:
+            # The layout of a new shard counts once a further read shows it.
+            self._next_read_at = 0
             yield ShardGained(row.shard)
 
+    def _rewrite_layouts(self) -> Iterator[LeaseCommand]:
+        """Write the layout that this daemon follows into its shard rows."""
+        layout = self._layout
+        if layout is None:
+            return
+        for shard in sorted(self._epochs_by_held):
+            row = self._rows_by_shard[shard]
+            older = row.revision < layout.revision
+            if row.layout == layout.digest or not older:
+                continue
+            if shard not in self._writing_shards:
+                self._writing_shards.add(shard)
+                moved = replace(
+                    row,
+                    epoch=row.epoch + 1,
+                    revision=layout.revision,
+                    layout=layout.digest,
+                )
+                yield WriteShard(moved, row.epoch)
+
+    def _confirm_layout(self) -> Iterator[LeaseCommand]:
+        if self._layout is None or self._writing_shards:
+            return
+        digests = {row.layout for row in self._rows_by_shard.values()}
+        complete = len(self._rows_by_shard) >= self._settings.shards
+        if complete and digests == {self._layout.digest}:
+            yield LayoutConfirmed(self._layout.digest)
+
     def _drop(self, shard: int) -> Iterator[LeaseCommand]:
         epoch = self._epochs_by_held.pop(shard)
         self._epochs_by_released[shard] = epoch
@@ -229,7 +271,9 @@
     def _release(self, row: ShardRow) -> Iterator[LeaseCommand]:
         if row.shard not in self._writing_shards:
             self._writing_shards.add(row.shard)
-            free = ShardRow(row.shard, NOBODY, NOBODY, row.epoch + 1)
+            free = replace(
+                row, holder=NOBODY, daemon=NOBODY, epoch=row.epoch + 1
+            )
             yield WriteShard(free, row.epoch)
 
     def _wants_shards(self) -> bool:
@@ -251,20 +295,28 @@
                 yield from self._take_shard(shard)
 
     def _take_shard(self, shard: int) -> Iterator[LeaseCommand]:
-        if shard in self._writing_shards:
+        layout = self._layout
+        if shard in self._writing_shards or layout is None:
             return
-        self._writing_shards.add(shard)
         row = self._rows_by_shard.get(shard)
+        if row is not None and row.revision > layout.revision:
+            return
+        self._writing_shards.add(shard)
         expected = None if row is None else row.epoch
         taken = ShardRow(
-            shard, self._heartbeat.holder, self._me.daemon, (expected or 0) + 1
+            shard,
+            self._heartbeat.holder,
+            self._me.daemon,
+            (expected or 0) + 1,
+            layout.revision,
+            layout.digest,
         )
         yield WriteShard(taken, expected)
 
     def _hand_over(self) -> Iterator[LeaseCommand]:
         counts = self._counts()
         fewest = min(
-            counts.get(candidate.daemon, 0) for candidate in self._candidates
+            (counts.get(one.daemon, 0) for one in self._takers()), default=0
         )
         mine = len(self._epochs_by_held)
         if mine < fewest + 2 or self._free():
@@ -296,7 +348,14 @@
             yield Nudge(taker.host)
 
     def _plan(self) -> dict[int, Candidate]:
-        return plan_shards(self._free(), self._counts(), self._candidates)
+        return plan_shards(self._free(), self._counts(), self._takers())
+
+    def _takers(self) -> tuple[Candidate, ...]:
+        """Return the candidates that were not lately declared dead."""
+        rows = self._witness.rows().values()
+        alive = {row.daemon for row in rows if not row.dead}
+        dead = {row.daemon for row in rows if row.dead} - alive
+        return tuple(one for one in self._candidates if one.daemon not in dead)
 
     def _counts(self) -> Counter[str]:
         free = set(self._free())
@@ -343,16 +402,20 @@
             yield HoldersChanged(holders)
 
     def _known_holders(self) -> tuple[Holder, ...]:
-        counts = self._counts()
+        free = set(self._free())
+        shards_by_daemon: dict[str, set[int]] = {}
+        for shard, row in self._rows_by_shard.items():
+            if shard not in free:
+                shards_by_daemon.setdefault(row.daemon, set()).add(shard)
         return tuple(
             Holder(
                 candidate.host,
                 candidate.data_center,
                 candidate.region,
-                counts[candidate.daemon],
+                frozenset(shards_by_daemon[candidate.daemon]),
             )
             for candidate in self._candidates
-            if counts[candidate.daemon] > 0
+            if candidate.daemon in shards_by_daemon
         )
 
 
--- a/packages/decisions/src/dragonflyknot/decisions/quota.py
+++ b/packages/decisions/src/dragonflyknot/decisions/quota.py
@@ -3,9 +3,9 @@
 Each daemon runs one `Quota`. As a holder it mints the tokens of the shards
 that it has on lease and lends them; as an edge it spends its own tokens,
 asks holders for more, and lets a request wait some milliseconds before it
-refuses. Every shard mints the same share of every workspace's rate and
-burst, whatever the revision, so that daemons on different revisions never
-mint more together than the larger of the two limits.
+refuses. What part of a workspace a shard mints is decided in `layouts`, so
+that daemons on different revisions never mint more together than the larger
+of the two limits.
 """
 
 from collections.abc import Callable, Iterator, Mapping
@@ -13,9 +13,10 @@
 from math import ceil, floor
 
 from dragonflyknot.decisions.accounts import Account, OpenAsk, Waiter
-from dragonflyknot.decisions.buckets import LENDER_VALIDITY_S, Bucket
+from dragonflyknot.decisions.buckets import Bucket
 from dragonflyknot.decisions.document import Configuration
 from dragonflyknot.decisions.grants import GrantAnswer, GrantRequest, Spent
+from dragonflyknot.decisions.layouts import Layout, Shares, layout_of
 from dragonflyknot.decisions.placement import stable_hash
 from dragonflyknot.decisions.ratemessages import (
     Admit,
@@ -28,6 +29,7 @@
     GrantLost,
     Holder,
     HoldersChanged,
+    LayoutConfirmed,
     LeaseExtended,
     RateCommand,
     RateEvent,
@@ -52,12 +54,14 @@
 class QuotaSettings:
     """Set the number of shards of the fleet and the pace of asking.
 
-    Every daemon of a fleet must have the same `shards`. A request waits at
-    most `wait_s`; an edge keeps a stock for `horizon_s` of its demand and
-    reports on its grants each `settle_s`.
+    Every daemon of a fleet must have the same `shards` and
+    `tokens_per_shard`. A request waits at most `wait_s`; an edge keeps a
+    stock for `horizon_s` of its demand and reports on its grants each
+    `settle_s`.
     """
 
     shards: int = 16
+    tokens_per_shard: int = 10
     wait_s: float = 0.06
     horizon_s: float = 0.3
     settle_s: float = 0.2
@@ -82,7 +86,7 @@
         self._serial = 0
         self._configuration: Configuration | None = None
         self._added_at_by_workspace: dict[str, float] = {}
-        self._starts_at_by_shard: dict[int, float] = {}
+        self._shares = Shares()
         self._usable_until = float(0)
         self._holders: tuple[Holder, ...] = ()
         self._accounts_by_workspace: dict[str, Account] = {}
@@ -92,6 +96,11 @@
         """Give the accounts of the workspaces that were lately active."""
         return self._accounts_by_workspace
 
+    @property
+    def layout(self) -> Layout | None:
+        """Return the layout of the configuration in force here."""
+        return self._shares.layout
+
     def spend(self, workspace: str, now: float) -> Spent | None:
         """Spend a token that is at hand; queue nothing otherwise."""
         account = self._account(workspace, now)
@@ -130,9 +139,13 @@
             case ConfigurationInstalled(configuration):
                 return tuple(self._install(configuration, now))
             case ShardGained(shard):
-                self._gain(shard, now)
+                self._shares.gain(shard, now)
+                self._reshare(now)
             case ShardLost(shard):
-                self._lose(shard)
+                self._shares.lose(shard)
+                self._reshare(now)
+            case LayoutConfirmed(digest):
+                self._shares.confirm(digest, now)
             case LeaseExtended(until):
                 self._usable_until = until
             case HoldersChanged(holders):
@@ -185,7 +198,7 @@
         account = self._account(request.workspace, now)
         amount = float(0)
         full = False
-        usable = now < self._usable_until and bool(self._starts_at_by_shard)
+        usable = now < self._usable_until and bool(self._shares.shards)
         if account is not None and usable:
             for settlement in request.settlements:
                 for bucket in account.buckets_by_shard.values():
@@ -211,6 +224,8 @@
         return (*self._serve(account, now), *self._ask(account, now))
 
     def _tick(self, now: float) -> Iterator[RateCommand]:
+        if self._shares.advance(now):
+            self._reshare(now)
         for account in tuple(self._accounts_by_workspace.values()):
             if not account.idle:
                 account.measure_demand(now)
@@ -243,7 +258,7 @@
                 amount = min(
                     max(even, _SMALLEST_ASK),
                     ceil(missing),
-                    ceil(self._share(account, holder)),
+                    ceil(account.limits.burst * self._part(account, holder)),
                 )
                 missing -= amount
                 yield self._ask_holder(account, holder.host, amount, now)
@@ -251,7 +266,11 @@
     def _askable(
         self, account: Account, holders: tuple[Holder, ...], now: float
     ) -> list[Holder]:
-        askable = [one for one in holders if account.askable(one.host, now)]
+        askable = [
+            one
+            for one in holders
+            if self._part(account, one) > 0 and account.askable(one.host, now)
+        ]
         told_at = account.told_at_by_host
         # Holders that were not asked for longest are the fullest.
         askable.sort(key=lambda holder: told_at.get(holder.host, 0))
@@ -263,14 +282,18 @@
             holder for holder in self._holders if holder.region == self._region
         )
         far = self._holders[len(near) :]
-        shards = sum(holder.shards for holder in near)
-        near_rate = account.limits.rate * shards / self._settings.shards
-        if account.demand > near_rate * _NEAR_LOAD:
+        part = sum(self._part(account, holder) for holder in near)
+        if account.demand > account.limits.rate * part * _NEAR_LOAD:
             return (self._holders,)
         return (near, far)
 
-    def _share(self, account: Account, holder: Holder) -> float:
-        return account.limits.burst * holder.shards / self._settings.shards
+    def _part(self, account: Account, holder: Holder) -> float:
+        """Return the part of a workspace that a holder mints."""
+        layout = self._shares.layout
+        if layout is None:
+            return 0
+        name = account.limits.name
+        return sum(layout.share(name, shard) for shard in holder.shards)
 
     def _missing(self, account: Account, now: float) -> float:
         usable = now < self._usable_until
@@ -329,7 +352,10 @@
         if self._configuration is not None:
             self._note_added(self._configuration, configuration, now)
         self._configuration = configuration
-        shards = self._settings.shards
+        settings = self._settings
+        self._shares.install(
+            layout_of(configuration, settings.shards, settings.tokens_per_shard)
+        )
         for workspace, account in tuple(self._accounts_by_workspace.items()):
             limits = configuration.limits(workspace)
             if limits is None:
@@ -338,8 +364,7 @@
                     yield RefuseRate(waiter.request_id, _UNKNOWN_RETRY_S)
                 continue
             account.limits = limits
-            for bucket in account.buckets_by_shard.values():
-                bucket.change(limits.rate / shards, limits.burst / shards, now)
+        self._reshare(now)
 
     def _note_added(
         self, old: Configuration, new: Configuration, now: float
@@ -348,17 +373,28 @@
             if workspace not in old.workspaces_by_name:
                 self._added_at_by_workspace[workspace] = now
 
-    def _gain(self, shard: int, now: float) -> None:
-        # Grants of the former holder may be spent for their validity, and
-        # count against the burst of the shard until then.
-        self._starts_at_by_shard[shard] = now + LENDER_VALIDITY_S
+    def _reshare(self, now: float) -> None:
         for workspace, account in self._accounts_by_workspace.items():
-            self._open_bucket(account, workspace, shard)
-
-    def _lose(self, shard: int) -> None:
-        self._starts_at_by_shard.pop(shard, None)
-        for account in self._accounts_by_workspace.values():
-            account.buckets_by_shard.pop(shard, None)
+            self._share_out(account, workspace, now)
+
+    def _share_out(self, account: Account, workspace: str, now: float) -> None:
+        """Give an account the buckets of the held shards."""
+        for lost in account.buckets_by_shard.keys() - self._shares.shards:
+            account.buckets_by_shard.pop(lost)
+        limits = account.limits
+        for shard in sorted(self._shares.shards):
+            part = self._shares.share(workspace, shard)
+            bucket = account.buckets_by_shard.get(shard)
+            if bucket is not None:
+                bucket.change(limits.rate * part, limits.burst * part, now)
+            elif part > 0:
+                starts_at = max(
+                    self._shares.starts_at(shard),
+                    self._added_at_by_workspace.get(workspace, 0),
+                )
+                account.buckets_by_shard[shard] = Bucket(
+                    limits.rate * part, limits.burst * part, starts_at
+                )
 
     def _account(self, workspace: str, now: float) -> Account | None:
         account = self._accounts_by_workspace.get(workspace)
@@ -369,24 +405,9 @@
             return None
         account = Account(limits, now)
         self._accounts_by_workspace[workspace] = account
-        for shard in self._starts_at_by_shard:
-            self._open_bucket(account, workspace, shard)
+        self._share_out(account, workspace, now)
         return account
 
-    def _open_bucket(
-        self, account: Account, workspace: str, shard: int
-    ) -> None:
-        starts_at = max(
-            self._starts_at_by_shard[shard],
-            self._added_at_by_workspace.get(workspace, 0),
-        )
-        shards = self._settings.shards
-        account.buckets_by_shard[shard] = Bucket(
-            account.limits.rate / shards,
-            account.limits.burst / shards,
-            starts_at,
-        )
-
     def _in_order(self, holders: tuple[Holder, ...]) -> tuple[Holder, ...]:
         others = [holder for holder in holders if holder.host != self._host]
         others.sort(key=self._distance)
--- a/packages/decisions/src/dragonflyknot/decisions/ratemessages.py
+++ b/packages/decisions/src/dragonflyknot/decisions/ratemessages.py
@@ -13,7 +13,7 @@
     host: str
     data_center: str
     region: str
-    shards: int = 1
+    shards: frozenset[int] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +88,13 @@
     shard: int
 
 
+@dataclass(frozen=True, slots=True)
+class LayoutConfirmed:
+    """Learn that all shard rows name the layout with this digest."""
+
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseExtended:
     """Replace the time until which the own shards may be used."""
@@ -113,6 +120,7 @@
     | ConfigurationInstalled
     | ShardGained
     | ShardLost
+    | LayoutConfirmed
     | LeaseExtended
     | HoldersChanged
 )
--- /dev/null
+++ b/tests/unit/test_layouts.py
@@ -0,0 +1,121 @@
+"""Check what part of a workspace each shard mints."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dragonflyknot.decisions.buckets import LENDER_VALIDITY_S
+from dragonflyknot.decisions.document import Configuration, Workspace
+from dragonflyknot.decisions.layouts import Layout, Shares, layout_of
+
+NAME = 'acme'
+SHARDS = 8
+
+
+def layout(burst: float) -> Layout:
+    workspaces = {NAME: Workspace(NAME, 10, burst)}
+    return layout_of(Configuration(workspaces_by_name=workspaces), SHARDS, 10)
+
+
+SMALL, MIDDLE, LARGE = layout(5), layout(40), layout(400)
+
+
+class LayoutTest(testtools.TestCase):
+    """Share a workspace among as many shards as its burst feeds."""
+
+    def test_shares_add_up_to_one(self) -> None:
+        for one in (SMALL, MIDDLE, LARGE):
+            shares = [one.share(NAME, shard) for shard in range(SHARDS)]
+            self.assertAlmostEqual(1, sum(shares))
+
+    def test_a_small_burst_has_few_shards(self) -> None:
+        counts = [
+            len(one.shards_by_workspace[NAME]) for one in (SMALL, MIDDLE, LARGE)
+        ]
+        self.assertEqual([1, 4, 8], counts)
+
+    def test_even_and_odd_shards_take_turns(self) -> None:
+        shards = MIDDLE.shards_by_workspace[NAME]
+        self.assertEqual(2, sum(shard % 2 for shard in shards))
+
+    def test_a_rate_alone_leaves_the_layout_as_it_is(self) -> None:
+        other = Configuration(workspaces_by_name={NAME: Workspace(NAME, 99, 5)})
+        self.assertEqual(SMALL.digest, layout_of(other, SHARDS, 10).digest)
+
+
+class SharesTest(testtools.TestCase):
+    """Mint no more than all layouts since the last confirmed one allow."""
+
+    def test_a_new_shard_mints_nothing_until_confirmed(self) -> None:
+        shares = Shares()
+        shares.install(LARGE)
+        shares.gain(0, 0)
+        self.assertEqual(0, shares.share(NAME, 0))
+        shares.confirm(LARGE.digest, 1)
+        self.assertFalse(shares.advance(1 + LENDER_VALIDITY_S / 2))
+        self.assertTrue(shares.advance(1 + LENDER_VALIDITY_S))
+        self.assertEqual(1 / SHARDS, shares.share(NAME, 0))
+
+    def test_a_larger_share_waits_and_a_smaller_one_does_not(self) -> None:
+        shares = Shares()
+        shares.install(LARGE)
+        shard = next(iter(SMALL.shards_by_workspace[NAME]))
+        other = (shard + 1) % SHARDS
+        for held in (shard, other):
+            shares.gain(held, 0)
+        shares.confirm(LARGE.digest, 0)
+        shares.advance(10)
+        shares.install(SMALL)
+        self.assertEqual(1 / SHARDS, shares.share(NAME, shard))
+        self.assertEqual(0, shares.share(NAME, other))
+        shares.confirm(SMALL.digest, 20)
+        shares.advance(30)
+        self.assertEqual(1, shares.share(NAME, shard))
+
+    def test_a_further_layout_cancels_a_confirmation(self) -> None:
+        shares = Shares()
+        shares.install(LARGE)
+        shares.gain(0, 0)
+        shares.confirm(LARGE.digest, 0)
+        shares.install(SMALL)
+        self.assertFalse(shares.advance(10))
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=200)
+    @given(
+        script=st.lists(
+            st.tuples(
+                st.sampled_from(('install', 'move', 'read', 'replace')),
+                st.integers(0, SHARDS - 1),
+                st.sampled_from((SMALL, MIDDLE, LARGE)),
+            ),
+            max_size=60,
+        )
+    )
+    def test_shares_never_exceed_the_whole(
+        self, script: list[tuple[str, int, Layout]]
+    ) -> None:
+        holders = [Shares() for _ in range(SHARDS)]
+        rows = [LARGE.digest for _ in range(SHARDS)]
+        for shard, shares in enumerate(holders):
+            shares.install(LARGE)
+            shares.gain(shard, 0)
+        for now, (kind, shard, new) in enumerate(script):
+            match kind:
+                case 'install':
+                    holders[shard].install(new)
+                case 'move':
+                    followed = holders[shard].layout
+                    assert followed is not None
+                    rows[shard] = followed.digest
+                case 'read' if len(set(rows)) == 1:
+                    holders[shard].confirm(rows[shard], now)
+                    holders[shard].advance(now + LENDER_VALIDITY_S)
+                case 'replace':
+                    holders[shard] = Shares()
+                    holders[shard].install(new)
+                    holders[shard].gain(shard, now)
+                    rows[shard] = new.digest
+            total = sum(
+                shares.share(NAME, held) for held, shares in enumerate(holders)
+            )
+            self.assertLessEqual(total, 1 + 1e-9)
