Let the measured limit find the true capacity

Cause: with announced slots three times too high at every upstream and twice the true capacity offered, the limit never fell: a trial was judged by the rate of a few completions, before it had its effect, and cancelled attempts that ran past their deadline told nothing.

--- a/measure/experiments/scenarios.py
+++ b/measure/experiments/scenarios.py
@@ -89,6 +89,13 @@
         _lying_slots,
         CAPACITY_SLOTS - SLOTS + LYING_SLOTS,
     )
+    yield Scenario(
+        'lying-slots-overload',
+        long,
+        _mixed(_flat),
+        _lying_everywhere,
+        len(PLACES) * LYING_SLOTS,
+    )
     yield Scenario('failing-fast', window, _mixed(_flat), _failing_fast(window))
     for hops in (5, 22):
         yield Scenario(f'chain-{hops}', window, _chain_load(hops), _chain(hops))
@@ -248,6 +255,12 @@
     gate.upstream.slots = LYING_SLOTS
 
 
+def _lying_everywhere(fleet: Fleet) -> None:
+    _front(fleet)
+    for node in fleet.nodes_by_host.values():
+        node.gates_by_service['front'].upstream.slots = LYING_SLOTS
+
+
 def _failing_fast(window: Window) -> Setup:
     def setup(fleet: Fleet) -> None:
         _front(fleet)
--- a/packages/decisions/src/dragonflyknot/decisions/admission.py
+++ b/packages/decisions/src/dragonflyknot/decisions/admission.py
@@ -42,6 +42,8 @@
 
 RETRY_AFTER_S = 1.0
 DEFAULT_COST_S = 0.01
+DEADLINE_MARGIN_S = 0.05
+CALM_QUEUE_SHARE = 0.75
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +140,8 @@
     workspace: str
     priority: int
     charged_s: float
+    started_at: float
+    deadline: float
 
 
 class Gate:
@@ -151,6 +155,7 @@
         self._queue = FairQueue()
         self._running_by_id: dict[str, _Running] = {}
         self._expiries: list[tuple[float, str]] = []
+        self._level = LOWEST_PRIORITY
 
     def handle(self, event: Event, now: float) -> tuple[Command, ...]:
         """Take an event; return what the shell has to do about it."""
@@ -161,7 +166,7 @@
                 self._finish(event, now)
             case Cancelled(attempt_id):
                 self._queue.remove(attempt_id)
-                self._running_by_id.pop(attempt_id, None)
+                self._cancel_running(attempt_id, now)
             case Announced():
                 return self._announce(event, now)
             case WeightsChanged(weights_by_workspace):
@@ -189,6 +194,7 @@
                 prompt=HIGHEST_PRIORITY + 1,
             )
         if not self._queue:
+            self._level = LOWEST_PRIORITY
             return report
         return replace(
             report, threshold=self._threshold(), prompt=self._prompt(limit)
@@ -213,8 +219,10 @@
         if now + least_s + self._wait_s(event.priority) > event.deadline:
             return (self._refuse(attempt_id, Refusal.NO_TIME),)
         if self._has_slot():
-            self._start(attempt_id, event.workspace, event.priority)
+            self._start(event, now)
             return (Start(attempt_id),)
+        if event.priority < self._threshold():
+            return (self._refuse(attempt_id, Refusal.SHED),)
         self._enqueue(event, event.deadline - least_s, now)
         return self._shed()
 
@@ -252,6 +260,16 @@
             event.latency_s - running.charged_s,
         )
 
+    def _cancel_running(self, attempt_id: str, now: float) -> None:
+        running = self._running_by_id.get(attempt_id)
+        if running is None:
+            return
+        if now >= running.deadline - DEADLINE_MARGIN_S:
+            elapsed_s = now - running.started_at
+            late = Finished(attempt_id, elapsed_s, Verdict.TIMED_OUT)
+            self._finish(late, now)
+        self._running_by_id.pop(attempt_id, None)
+
     def _announce(self, event: Announced, now: float) -> tuple[Command, ...]:
         before = self._state
         self._state = event.state
@@ -275,13 +293,15 @@
     def _start_or_drop(self, waiter: Waiter, now: float) -> Command:
         if waiter.expires_at < now:
             return self._drop(waiter, now)
-        self._start(waiter.attempt_id, waiter.workspace, waiter.priority)
+        self._start(waiter, now)
         return Start(waiter.attempt_id)
 
-    def _start(self, attempt_id: str, workspace: str, priority: int) -> None:
-        cost_s = self._cost_s(priority)
-        self._queue.charge(priority, workspace, cost_s)
-        self._running_by_id[attempt_id] = _Running(workspace, priority, cost_s)
+    def _start(self, asked: Arrived | Waiter, now: float) -> None:
+        cost_s = self._cost_s(asked.priority)
+        self._queue.charge(asked.priority, asked.workspace, cost_s)
+        self._running_by_id[asked.attempt_id] = _Running(
+            asked.workspace, asked.priority, cost_s, now, asked.deadline
+        )
 
     def _expire(self, now: float) -> tuple[Command, ...]:
         commands: list[Command] = []
@@ -342,9 +362,19 @@
         return self._concurrency.mean_s(priority) or DEFAULT_COST_S
 
     def _threshold(self) -> int:
-        if len(self._queue) < self._service.queue_limit:
-            return LOWEST_PRIORITY
-        return self._queue.lowest_priority() or LOWEST_PRIORITY
+        """Return the lowest priority that is admitted.
+
+        It rises when the queue is full and falls again only when a part of
+        the queue is free, so that edges with an older report agree.
+        """
+        waiting = len(self._queue)
+        limit = self._service.queue_limit
+        if waiting >= limit:
+            lowest = self._queue.lowest_priority() or LOWEST_PRIORITY
+            self._level = max(self._level, lowest)
+        elif waiting <= limit * CALM_QUEUE_SHARE:
+            self._level = LOWEST_PRIORITY
+        return self._level
 
     def _prompt(self, limit: int) -> int:
         """Return the lowest priority that would start without a long wait."""
--- a/packages/decisions/src/dragonflyknot/decisions/concurrency.py
+++ b/packages/decisions/src/dragonflyknot/decisions/concurrency.py
@@ -14,12 +14,16 @@
 WINDOW_S = 0.1
 WINDOW_SAMPLES = 32
 BASELINE_LIFE_S = 60.0
-CONGESTED_RATIO = 2.0
-CALM_RATIO = 1.5
+CONGESTED_RATIO = 1.5
+CALM_RATIO = 1.25
+RISING_RATIO = 1.1
 SHRINK = 0.85
 GROWTH = 1.15
-HOLD_OFF_S = 5.0
-MIN_GAIN = 0.93
+HOLD_OFF_S = 1.0
+MAX_HOLD_OFF_S = 16.0
+TRIAL_SHRINK = 0.7
+MAX_VAIN_RATIO = 0.85
+SETTLE_MEANS = 1.5
 COLD_START_FRACTION = 0.125
 COLD_START_GROWTH = 1.5
 ESTIMATE_LIFE_S = 1.0
@@ -88,7 +92,10 @@
     _ramping: bool = False
     _held_until: float = 0
     _trial_limit: float = 0
-    _trial_rate: float = 0
+    _trial_ratio: float = 0
+    _settled_at: float = 0
+    _last_ratio: float = 1
+    _hold_off_s: float = HOLD_OFF_S
     _window: _Window = field(default_factory=_Window)
     _latencies_by_priority: dict[int, _Latencies] = field(default_factory=dict)
 
@@ -109,7 +116,7 @@
         self.slots = max(0, slots)
         self._limit = max(1, slots * COLD_START_FRACTION)
         self._ramping = True
-        self._trial_rate = 0
+        self._trial_ratio = 0
         self._latencies_by_priority.clear()
         self._window = _Window(now)
 
@@ -143,6 +150,8 @@
         `running` counts requests at the upstream before it ended.
         """
         window = self._window
+        if window.opened_at < self._settled_at <= now:
+            window = self._reopen(now)
         window.done += 1
         if running >= self.limit * 0.8:
             window.busy += 1
@@ -162,9 +171,17 @@
         if elapsed_s >= WINDOW_S and (
             window.done >= enough or elapsed_s >= 10 * WINDOW_S
         ):
-            self._decide(window, elapsed_s, now)
+            self._decide(window, now)
             self._window = _Window(now)
 
+    def _reopen(self, now: float) -> _Window:
+        """Forget what ended before a change of the limit had its effect."""
+        for known in self._latencies_by_priority.values():
+            known.window_sum_s = 0
+            known.window_count = 0
+        self._window = _Window(now)
+        return self._window
+
     def _sample(self, priority: int, latency: Latency, now: float) -> None:
         total_s = latency.total_s
         known = self._latencies_by_priority.get(priority)
@@ -179,39 +196,51 @@
         known.window_sum_s += latency.own_s
         known.window_count += 1
 
-    def _decide(self, window: _Window, elapsed_s: float, now: float) -> None:
+    def _decide(self, window: _Window, now: float) -> None:
+        if now < self._settled_at:
+            return
         ratio = self._latency_ratio(now)
-        rate = window.done / elapsed_s
         if window.refused or window.failed * 2 > window.done:
             self._ramping = False
-            self._limit = max(1, self._limit * SHRINK)
-        elif self._trial_rate:
-            self._judge_trial(rate, ratio, now)
+            self._shrink(SHRINK, now)
+        elif self._trial_ratio:
+            self._judge_trial(ratio, now)
         elif window.busy * 2 > window.done:
-            self._follow_latency(rate, ratio, now)
+            self._follow_latency(ratio, now)
 
-    def _follow_latency(self, rate: float, ratio: float, now: float) -> None:
+    def _follow_latency(self, ratio: float, now: float) -> None:
         held = now < self._held_until
+        is_rising = ratio > self._last_ratio * RISING_RATIO
+        self._last_ratio = ratio
         if ratio <= CALM_RATIO or held:
             self._grow()
-        elif ratio > CONGESTED_RATIO:
+        elif ratio > CONGESTED_RATIO and not is_rising:
             self._ramping = False
-            self._begin_trial(rate)
+            self._begin_trial(ratio, now)
 
-    def _begin_trial(self, rate: float) -> None:
-        self._trial_rate = rate
+    def _begin_trial(self, ratio: float, now: float) -> None:
+        self._trial_ratio = ratio
         self._trial_limit = self._limit
-        self._limit = max(1, self._limit * SHRINK)
-
-    def _judge_trial(self, rate: float, ratio: float, now: float) -> None:
-        if rate < self._trial_rate * MIN_GAIN:
-            self._limit = self._trial_limit
-            self._held_until = now + HOLD_OFF_S
-            self._trial_rate = 0
-        elif ratio > CONGESTED_RATIO:
-            self._begin_trial(max(rate, self._trial_rate))
+        self._shrink(TRIAL_SHRINK, now)
+
+    def _judge_trial(self, ratio: float, now: float) -> None:
+        if ratio > self._trial_ratio * MAX_VAIN_RATIO:
+            self._limit = min(self._trial_limit, self.slots)
+            self._held_until = now + self._hold_off_s
+            self._hold_off_s = min(MAX_HOLD_OFF_S, 2 * self._hold_off_s)
+            self._trial_ratio = 0
+            return
+        self._hold_off_s = HOLD_OFF_S
+        if ratio > CONGESTED_RATIO:
+            self._begin_trial(ratio, now)
         else:
-            self._trial_rate = 0
+            self._trial_ratio = 0
+
+    def _shrink(self, factor: float, now: float) -> None:
+        """Lower the limit; wait until what runs has felt it."""
+        self._limit = max(1, self._limit * factor)
+        means = (one.mean_s for one in self._latencies_by_priority.values())
+        self._settled_at = now + SETTLE_MEANS * max(means, default=0)
 
     def _grow(self) -> None:
         factor = COLD_START_GROWTH if self._ramping else GROWTH
