--- a/packages/daemon/src/dragonflyknot/daemon/configsync.py
+++ b/packages/daemon/src/dragonflyknot/daemon/configsync.py
@@ -24,7 +24,7 @@
 from dragonflyknot.platform.rows import document_key, revision_of
 
 TICK_S = 0.25
-POLL_INTERVAL_S = 1.0
+POLL_INTERVAL_S = 2.0
 SPREAD = 0.5
 
 _log = structlog.get_logger(__name__)
