Install the two binaries and require the platform's addresses

Cause: make setup left the commands out, and a daemon without an endpoint would have used the library's default address; the embedded platform could hold no document, so its option had no use. After: dragonflyknot and dragonflyknotd stand in the environment; a missing or malformed endpoint is a fault of the settings.

--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,11 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements/develop.txt
+$(VENV)/.ready: requirements/develop.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --require-hashes -r requirements/develop.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation --no-index \
+		$(foreach name,$(NAMES),-e packages/$(name))
 	touch $@
 
 spin:
--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -38,9 +38,7 @@
 from dragonflyknot.peers.receiving import Receiver
 from dragonflyknot.peers.sessions import PeerSessions
 from dragonflyknot.platform.backends import (
-    Backend,
     RemoteBackend,
-    embedded_backend,
 )
 from dragonflyknot.platform.interfaces import Usage
 from dragonflyknot.platform.settings import PlatformSettings
@@ -137,7 +135,9 @@
         )
 
     async def _open(self, stack: AsyncExitStack) -> None:
-        self._backend = await _open_backend(stack, self.settings)
+        self._backend = await stack.enter_async_context(
+            _remote_backend(self.settings)
+        )
         upstream_session = await stack.enter_async_context(relay_session())
         self.gate = Gate(
             GatePorts(
@@ -289,10 +289,8 @@
     gc.set_threshold(COLLECT_AFTER_OBJECTS)
 
 
-async def _open_backend(stack: AsyncExitStack, settings: Settings) -> Backend:
-    if settings.platform == 'embedded':
-        return embedded_backend()
-    remote = RemoteBackend(
+def _remote_backend(settings: Settings) -> RemoteBackend:
+    return RemoteBackend(
         PlatformSettings(
             table_endpoint=settings.table_endpoint,
             objects_endpoint=settings.objects_endpoint,
@@ -303,7 +301,6 @@
             secret_key=settings.secret_key.get_secret_value(),
         )
     )
-    return await stack.enter_async_context(remote)
 
 
 async def run_daemon(settings: Settings) -> int:
--- a/packages/daemon/src/dragonflyknot/daemon/settings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/settings.py
@@ -47,6 +47,7 @@
 _Name = Annotated[
     str, Field(pattern=r'^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$', max_length=63)
 ]
+_Url = Annotated[str, Field(pattern=r'^https?://[^\s/]+$')]
 _Address = Annotated[str, AfterValidator(_address)]
 _OptionalAddress = Annotated[str, AfterValidator(_optional_address)]
 _Secret = Annotated[SecretStr, AfterValidator(_long_secret)]
@@ -72,10 +73,9 @@
     seeds: Annotated[str, AfterValidator(_addresses)]
     calls: str
     fleet_secret: _Secret
-    platform: Literal['remote', 'embedded']
     store_region: str
-    table_endpoint: str
-    objects_endpoint: str
+    table_endpoint: _Url
+    objects_endpoint: _Url
     platform_region: str
     table: str
     bucket: str
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -13,6 +13,8 @@
     'requests-listen': '127.0.0.1:1',
     'control-listen': '127.0.0.1:2',
     'fleet-secret': 'sixteen-characters',
+    'table-endpoint': 'http://127.0.0.1:3',
+    'objects-endpoint': 'http://127.0.0.1:3',
 }
 
 
@@ -37,9 +39,10 @@
             'control-listen': '127.0.0.1:99999',
             'drain-seconds': '-1',
             'fleet-secret': 'short',
+            'table-endpoint': 'table.example',
         }
         faults = load_settings(flags, {}).unwrap_err()
-        self.assertEqual(5, len(faults.messages))
+        self.assertEqual(6, len(faults.messages))
         for message in faults.messages:
             self.assertIn('DRAGONFLYKNOT_', message)
 
