--- a/packages/decisions/src/dragonflyknot/decisions/accounts.py
+++ b/packages/decisions/src/dragonflyknot/decisions/accounts.py
@@ -28,6 +28,7 @@
 _LONGEST_REST_S = 0.25
 _WAITING_REST_S = 0.08
 _NO_HOLDER_REST_S = 0.5
+_FLOODED_SHARE = 0.2
 _SHORTEST_RETRY_S = 0.05
 _LONGEST_RETRY_S = 30.0
 
@@ -58,6 +59,8 @@
         '_asks_by_id',
         '_counted_at',
         '_eager_hosts',
+        '_refusals',
+        '_refused',
         '_rest_until_by_host',
         '_rested_at_by_host',
         'buckets_by_shard',
@@ -76,6 +79,8 @@
         self.demand = float(0)
         self.told_at_by_host: dict[str, float] = {}
         self._arrived = 0
+        self._refused = 0
+        self._refusals = float(0)
         self._counted_at = now
         self._asks_by_id: dict[str, OpenAsk] = {}
         self._rested_at_by_host: dict[str, float] = {}
@@ -92,6 +97,11 @@
         """Count a request towards the demand."""
         self._arrived += 1
 
+    def refuse(self) -> float:
+        """Count a refusal; return the seconds to retry after."""
+        self._refused += 1
+        return self._retry_after_s()
+
     def measure_demand(self, now: float) -> None:
         """Age the demand, in requests a second, up to `now`."""
         elapsed = now - self._counted_at
@@ -99,7 +109,9 @@
             return
         share = min(1, elapsed / _DEMAND_WINDOW_S)
         self.demand += share * (self._arrived / elapsed - self.demand)
+        self._refusals += share * (self._refused / elapsed - self._refusals)
         self._arrived = 0
+        self._refused = 0
         self._counted_at = now
         if self.demand < _NEGLIGIBLE_DEMAND:
             self.demand = 0
@@ -216,8 +228,7 @@
             for ask in self._asks_by_id.values()
         )
 
-    def retry_after_s(self) -> float:
-        """Return the time, in seconds, until the rate has room again."""
+    def _retry_after_s(self) -> float:
         if self.limits.rate <= 0:
             return _LONGEST_RETRY_S
         wait = (1 + len(self.waiters)) / self.limits.rate
@@ -245,7 +256,9 @@
     def _rests(self, host: str, now: float) -> bool:
         if self._rest_until_by_host.get(host, 0) <= now:
             return False
-        if not self.waiters:
+        # Holders that refuse much are drained, and asking more is no use.
+        flooded = self._refusals > self.demand * _FLOODED_SHARE
+        if flooded or not self.waiters:
             return True
         rested_at = self._rested_at_by_host.get(host, now)
         return now < rested_at + _WAITING_REST_S
--- a/packages/decisions/src/dragonflyknot/decisions/leases.py
+++ b/packages/decisions/src/dragonflyknot/decisions/leases.py
@@ -6,8 +6,7 @@
 commands go to the table, to other daemons and to the daemon's own `Quota`.
 """
 
-from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from dataclasses import replace
 
 from dragonflyknot.decisions.heartbeats import Heartbeat
@@ -15,7 +14,6 @@
     NOBODY,
     AnswerWitness,
     CandidatesChanged,
-    HeartbeatRow,
     LayoutInstalled,
     LeaseCommand,
     LeaseEvent,
@@ -38,11 +36,7 @@
     WriteHeartbeat,
     WriteShard,
 )
-from dragonflyknot.decisions.placement import (
-    Candidate,
-    plan_shards,
-    stable_hash,
-)
+from dragonflyknot.decisions.placement import Candidate, stable_hash
 from dragonflyknot.decisions.ratemessages import (
     Holder,
     HoldersChanged,
@@ -51,6 +45,7 @@
     ShardGained,
     ShardLost,
 )
+from dragonflyknot.decisions.shardview import ShardView
 from dragonflyknot.decisions.witness import Witness
 
 
@@ -62,8 +57,7 @@
         self._settings = settings
         self._heartbeat = Heartbeat(me, settings)
         self._witness = Witness(me.daemon, settings)
-        self._candidates: tuple[Candidate, ...] = ()
-        self._rows_by_shard: dict[int, ShardRow] = {}
+        self._view = ShardView(settings.shards, self._witness.rows)
         self._free_since_by_shard: dict[int, float] = {}
         self._epochs_by_held: dict[int, int] = {}
         self._epochs_by_released: dict[int, int] = {}
@@ -107,7 +101,7 @@
                 self._missed(write, now)
                 yield from self._read_rows(now)
             case CandidatesChanged(candidates):
-                self._candidates = candidates
+                self._view.candidates = candidates
                 self._heartbeat.change_candidates(candidates)
             case LayoutInstalled():
                 self._layout = event
@@ -128,14 +122,14 @@
         if self._stopping:
             yield from self._stop(now)
             return
-        candidate = self._me in self._candidates
+        candidate = self._me in self._view.candidates
         if candidate or self._heartbeat.row is not None:
             if now >= self._next_read_at:
                 yield from self._read_rows(now)
             yield from self._heartbeat.tick(now, self._wants_shards())
         if candidate and self._read_at is not None:
             yield from self._witness.fence(
-                self._rows_by_shard.values(), self._heartbeat.holder, now
+                self._view.rows_by_shard.values(), self._heartbeat.holder, now
             )
             yield from self._take(now)
 
@@ -169,10 +163,10 @@
         if self._heartbeat.seen(rows.get(self._heartbeat.holder)):
             yield from self._drop_all()
             self._heartbeat.begin_term()
-        self._rows_by_shard = {row.shard: row for row in read.shards}
+        self._view.rows_by_shard = {row.shard: row for row in read.shards}
         yield from self._adopt()
         self._note_free(now)
-        if not self._stopping and self._me in self._candidates:
+        if not self._stopping and self._me in self._view.candidates:
             yield from self._take(now)
             yield from self._hand_over()
             yield from self._clean(now)
@@ -180,7 +174,7 @@
         yield from self._confirm_layout()
 
     def _adopt(self) -> Iterator[LeaseCommand]:
-        for shard, row in self._rows_by_shard.items():
+        for shard, row in self._view.rows_by_shard.items():
             mine = row.holder == self._heartbeat.holder
             held = self._epochs_by_held.get(shard)
             if held is not None and (not mine or row.epoch < held):
@@ -207,7 +201,7 @@
                     yield from self._take(now)
             case WriteShard(row):
                 self._writing_shards.discard(row.shard)
-                self._rows_by_shard[row.shard] = row
+                self._view.rows_by_shard[row.shard] = row
                 if row.holder == NOBODY:
                     yield from self._nudge_taker(row.shard)
                 elif row.holder == self._heartbeat.holder:
@@ -237,7 +231,7 @@
         if layout is None:
             return
         for shard in sorted(self._epochs_by_held):
-            row = self._rows_by_shard[shard]
+            row = self._view.rows_by_shard[shard]
             older = row.revision < layout.revision
             if row.layout == layout.digest or not older:
                 continue
@@ -254,8 +248,8 @@
     def _confirm_layout(self) -> Iterator[LeaseCommand]:
         if self._layout is None or self._writing_shards:
             return
-        digests = {row.layout for row in self._rows_by_shard.values()}
-        complete = len(self._rows_by_shard) >= self._settings.shards
+        digests = {row.layout for row in self._view.rows_by_shard.values()}
+        complete = len(self._view.rows_by_shard) >= self._settings.shards
         if complete and digests == {self._layout.digest}:
             yield LayoutConfirmed(self._layout.digest)
 
@@ -277,18 +271,20 @@
             yield WriteShard(free, row.epoch)
 
     def _wants_shards(self) -> bool:
-        if self._read_at is None or self._me not in self._candidates:
+        if self._read_at is None or self._me not in self._view.candidates:
             return False
-        planned = self._plan().values()
-        return self._me in planned or bool(self._bequeathed())
+        planned = self._view.plan().values()
+        return self._me in planned or bool(
+            self._view.bequeathed(self._me.daemon)
+        )
 
     def _take(self, now: float) -> Iterator[LeaseCommand]:
         if self._stopping or now >= self._heartbeat.usable_until():
             return
-        planned = self._plan()
-        bequeathed = self._bequeathed()
+        planned = self._view.plan()
+        bequeathed = self._view.bequeathed(self._me.daemon)
         patience_s = 2 * self._settings.poll_s
-        for shard in self._free():
+        for shard in self._view.free():
             waited_s = now - self._free_since_by_shard.get(shard, now)
             mine = planned.get(shard) == self._me or shard in bequeathed
             if mine or waited_s > patience_s:
@@ -298,7 +294,7 @@
         layout = self._layout
         if shard in self._writing_shards or layout is None:
             return
-        row = self._rows_by_shard.get(shard)
+        row = self._view.rows_by_shard.get(shard)
         if row is not None and row.revision > layout.revision:
             return
         self._writing_shards.add(shard)
@@ -314,14 +310,15 @@
         yield WriteShard(taken, expected)
 
     def _hand_over(self) -> Iterator[LeaseCommand]:
-        counts = self._counts()
+        counts = self._view.counts()
         fewest = min(
-            (counts.get(one.daemon, 0) for one in self._takers()), default=0
+            (counts.get(one.daemon, 0) for one in self._view.takers()),
+            default=0,
         )
         mine = len(self._epochs_by_held)
-        if mine < fewest + 2 or self._free():
+        if mine < fewest + 2 or self._view.free():
             return
-        regions = sorted({one.region for one in self._candidates})
+        regions = sorted({one.region for one in self._view.candidates})
         shard = max(
             self._epochs_by_held,
             key=lambda held: (
@@ -330,12 +327,14 @@
             ),
         )
         yield from self._drop(shard)
-        yield from self._release(self._rows_by_shard[shard])
+        yield from self._release(self._view.rows_by_shard[shard])
 
     def _clean(self, now: float) -> Iterator[LeaseCommand]:
-        first = min(one.daemon for one in self._candidates)
+        first = min(one.daemon for one in self._view.candidates)
         if first == self._me.daemon:
-            yield from self._witness.clean(self._rows_by_shard.values(), now)
+            yield from self._witness.clean(
+                self._view.rows_by_shard.values(), now
+            )
 
     def _nudge_witness(self) -> Iterator[LeaseCommand]:
         host = self._heartbeat.witness_host()
@@ -343,50 +342,12 @@
             yield Nudge(host)
 
     def _nudge_taker(self, shard: int) -> Iterator[LeaseCommand]:
-        taker = self._plan().get(shard)
+        taker = self._view.plan().get(shard)
         if taker is not None and taker != self._me:
             yield Nudge(taker.host)
 
-    def _plan(self) -> dict[int, Candidate]:
-        return plan_shards(self._free(), self._counts(), self._takers())
-
-    def _takers(self) -> tuple[Candidate, ...]:
-        """Return the candidates that were not lately declared dead."""
-        rows = self._witness.rows().values()
-        alive = {row.daemon for row in rows if not row.dead}
-        dead = {row.daemon for row in rows if row.dead} - alive
-        return tuple(one for one in self._candidates if one.daemon not in dead)
-
-    def _counts(self) -> Counter[str]:
-        free = set(self._free())
-        return Counter(
-            row.daemon
-            for shard, row in self._rows_by_shard.items()
-            if shard not in free
-        )
-
-    def _free(self) -> tuple[int, ...]:
-        heartbeats = self._witness.rows()
-        return tuple(
-            shard
-            for shard in range(self._settings.shards)
-            if _is_free(self._rows_by_shard.get(shard), heartbeats)
-        )
-
-    def _bequeathed(self) -> frozenset[int]:
-        """Return the free shards whose dead holder named this witness."""
-        heartbeats = self._witness.rows()
-        bequeathed: set[int] = set()
-        for shard in self._free():
-            row = self._rows_by_shard.get(shard)
-            holder = NOBODY if row is None else row.holder
-            heartbeat = heartbeats.get(holder)
-            if heartbeat and heartbeat.witness == self._me.daemon:
-                bequeathed.add(shard)
-        return frozenset(bequeathed)
-
     def _note_free(self, now: float) -> None:
-        free = self._free()
+        free = self._view.free()
         self._free_since_by_shard = {
             shard: self._free_since_by_shard.get(shard, now) for shard in free
         }
@@ -396,33 +357,7 @@
         if until != self._usable_until:
             self._usable_until = until
             yield LeaseExtended(until)
-        holders = self._known_holders()
+        holders = self._view.holders()
         if holders != self._holders:
             self._holders = holders
             yield HoldersChanged(holders)
-
-    def _known_holders(self) -> tuple[Holder, ...]:
-        free = set(self._free())
-        shards_by_daemon: dict[str, set[int]] = {}
-        for shard, row in self._rows_by_shard.items():
-            if shard not in free:
-                shards_by_daemon.setdefault(row.daemon, set()).add(shard)
-        return tuple(
-            Holder(
-                candidate.host,
-                candidate.data_center,
-                candidate.region,
-                frozenset(shards_by_daemon[candidate.daemon]),
-            )
-            for candidate in self._candidates
-            if candidate.daemon in shards_by_daemon
-        )
-
-
-def _is_free(
-    row: ShardRow | None, heartbeats_by_holder: Mapping[str, HeartbeatRow]
-) -> bool:
-    if row is None or row.holder == NOBODY:
-        return True
-    heartbeat = heartbeats_by_holder.get(row.holder)
-    return heartbeat is not None and heartbeat.dead
--- a/packages/decisions/src/dragonflyknot/decisions/quota.py
+++ b/packages/decisions/src/dragonflyknot/decisions/quota.py
@@ -16,8 +16,8 @@
 from dragonflyknot.decisions.buckets import Bucket
 from dragonflyknot.decisions.document import Configuration
 from dragonflyknot.decisions.grants import GrantAnswer, GrantRequest, Spent
+from dragonflyknot.decisions.holders import HolderMap, part_of
 from dragonflyknot.decisions.layouts import Layout, Shares, layout_of
-from dragonflyknot.decisions.placement import stable_hash
 from dragonflyknot.decisions.ratemessages import (
     Admit,
     AnswerGrant,
@@ -27,7 +27,6 @@
     GrantAnswered,
     GrantAsked,
     GrantLost,
-    Holder,
     HoldersChanged,
     LayoutConfirmed,
     LeaseExtended,
@@ -47,7 +46,6 @@
 
 _UNKNOWN_RETRY_S = 1.0
 _SMALLEST_ASK = 4.0
-_NEAR_LOAD = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +76,6 @@
         region: str,
         settings: QuotaSettings,
     ) -> None:
-        self._host = host
-        self._data_center = data_center
-        self._region = region
         self._settings = settings
         self._prefix = f'{host}/{incarnation}/'
         self._serial = 0
@@ -88,7 +83,7 @@
         self._added_at_by_workspace: dict[str, float] = {}
         self._shares = Shares()
         self._usable_until = float(0)
-        self._holders: tuple[Holder, ...] = ()
+        self._holders = HolderMap(host, data_center, region)
         self._accounts_by_workspace: dict[str, Account] = {}
 
     @property
@@ -149,7 +144,7 @@
             case LeaseExtended(until):
                 self._usable_until = until
             case HoldersChanged(holders):
-                self._holders = self._in_order(holders)
+                self._holders.change(holders)
         return ()
 
     def next_tick_s(self) -> float:
@@ -175,7 +170,7 @@
                 return
         room = 1 + account.limits.rate * self._settings.wait_s
         if len(account.waiters) >= room:
-            yield RefuseRate(event.request_id, account.retry_after_s())
+            yield RefuseRate(event.request_id, account.refuse())
             return
         deadline = min(event.deadline, now + self._settings.wait_s)
         account.waiters.append(Waiter(event.request_id, deadline))
@@ -238,7 +233,7 @@
         while waiters:
             if waiters[0].deadline < now:
                 late = waiters.popleft()
-                yield RefuseRate(late.request_id, account.retry_after_s())
+                yield RefuseRate(late.request_id, account.refuse())
                 continue
             spent = account.take(now, now < self._usable_until)
             if spent is None:
@@ -249,8 +244,10 @@
         missing = self._missing(account, now)
         if missing <= 0:
             return
-        for holders in self._rings(account):
-            askable = self._askable(account, holders, now)
+        layout = self._shares.layout
+        if layout is None:
+            return
+        for askable in self._holders.rings(account, layout, now):
             for count, holder in enumerate(askable):
                 if missing <= 0:
                     return
@@ -258,43 +255,13 @@
                 amount = min(
                     max(even, _SMALLEST_ASK),
                     ceil(missing),
-                    ceil(account.limits.burst * self._part(account, holder)),
+                    ceil(
+                        account.limits.burst * part_of(account, holder, layout)
+                    ),
                 )
                 missing -= amount
                 yield self._ask_holder(account, holder.host, amount, now)
 
-    def _askable(
-        self, account: Account, holders: tuple[Holder, ...], now: float
-    ) -> list[Holder]:
-        askable = [
-            one
-            for one in holders
-            if self._part(account, one) > 0 and account.askable(one.host, now)
-        ]
-        told_at = account.told_at_by_host
-        # Holders that were not asked for longest are the fullest.
-        askable.sort(key=lambda holder: told_at.get(holder.host, 0))
-        return askable
-
-    def _rings(self, account: Account) -> tuple[tuple[Holder, ...], ...]:
-        """Return the groups of holders to ask, one after the other."""
-        near = tuple(
-            holder for holder in self._holders if holder.region == self._region
-        )
-        far = self._holders[len(near) :]
-        part = sum(self._part(account, holder) for holder in near)
-        if account.demand > account.limits.rate * part * _NEAR_LOAD:
-            return (self._holders,)
-        return (near, far)
-
-    def _part(self, account: Account, holder: Holder) -> float:
-        """Return the part of a workspace that a holder mints."""
-        layout = self._shares.layout
-        if layout is None:
-            return 0
-        name = account.limits.name
-        return sum(layout.share(name, shard) for shard in holder.shards)
-
     def _missing(self, account: Account, now: float) -> float:
         usable = now < self._usable_until
         horizon_s = self._settings.horizon_s
@@ -407,15 +374,3 @@
         self._accounts_by_workspace[workspace] = account
         self._share_out(account, workspace, now)
         return account
-
-    def _in_order(self, holders: tuple[Holder, ...]) -> tuple[Holder, ...]:
-        others = [holder for holder in holders if holder.host != self._host]
-        others.sort(key=self._distance)
-        return tuple(others)
-
-    def _distance(self, holder: Holder) -> tuple[bool, bool, int]:
-        return (
-            holder.region != self._region,
-            holder.data_center != self._data_center,
-            stable_hash(f'{self._host}/{holder.host}'),
-        )
--- /dev/null
+++ b/packages/decisions/src/dragonflyknot/decisions/shardview.py
@@ -0,0 +1,92 @@
+"""What one daemon knows of all shards, and what follows from it."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from dragonflyknot.decisions.leaserows import (
+    NOBODY,
+    HeartbeatRow,
+    ShardRow,
+)
+from dragonflyknot.decisions.placement import Candidate, plan_shards
+from dragonflyknot.decisions.ratemessages import Holder
+
+HeartbeatSource = Callable[[], Mapping[str, HeartbeatRow]]
+
+
+class ShardView:
+    """Join the shard rows, the heartbeat rows and the candidates."""
+
+    def __init__(self, shards: int, heartbeats: HeartbeatSource) -> None:
+        self.rows_by_shard: dict[int, ShardRow] = {}
+        self.candidates: tuple[Candidate, ...] = ()
+        self._shards = shards
+        self._heartbeats = heartbeats
+
+    def free(self) -> tuple[int, ...]:
+        """Return the shards that nobody holds."""
+        heartbeats = self._heartbeats()
+        return tuple(
+            shard
+            for shard in range(self._shards)
+            if _is_free(self.rows_by_shard.get(shard), heartbeats)
+        )
+
+    def counts(self) -> Counter[str]:
+        """Return how many shards each daemon holds."""
+        free = set(self.free())
+        return Counter(
+            row.daemon
+            for shard, row in self.rows_by_shard.items()
+            if shard not in free
+        )
+
+    def takers(self) -> tuple[Candidate, ...]:
+        """Return the candidates that were not lately declared dead."""
+        rows = self._heartbeats().values()
+        alive = {row.daemon for row in rows if not row.dead}
+        dead = {row.daemon for row in rows if row.dead} - alive
+        return tuple(one for one in self.candidates if one.daemon not in dead)
+
+    def plan(self) -> dict[int, Candidate]:
+        """Return who should take the free shards."""
+        return plan_shards(self.free(), self.counts(), self.takers())
+
+    def bequeathed(self, witness: str) -> frozenset[int]:
+        """Return the free shards whose dead holder named this witness."""
+        heartbeats = self._heartbeats()
+        bequeathed: set[int] = set()
+        for shard in self.free():
+            row = self.rows_by_shard.get(shard)
+            holder = NOBODY if row is None else row.holder
+            heartbeat = heartbeats.get(holder)
+            if heartbeat and heartbeat.witness == witness:
+                bequeathed.add(shard)
+        return frozenset(bequeathed)
+
+    def holders(self) -> tuple[Holder, ...]:
+        """Return the candidates that hold shards."""
+        free = set(self.free())
+        shards_by_daemon: dict[str, set[int]] = {}
+        for shard, row in self.rows_by_shard.items():
+            if shard not in free:
+                shards_by_daemon.setdefault(row.daemon, set()).add(shard)
+        return tuple(
+            Holder(
+                candidate.host,
+                candidate.data_center,
+                candidate.region,
+                frozenset(shards_by_daemon[candidate.daemon]),
+            )
+            for candidate in self.candidates
+            if candidate.daemon in shards_by_daemon
+        )
+
+
+def _is_free(
+    row: ShardRow | None, heartbeats_by_holder: Mapping[str, HeartbeatRow]
+) -> bool:
+    if row is None or row.holder == NOBODY:
+        return True
+    heartbeat = heartbeats_by_holder.get(row.holder)
+    return heartbeat is not None and heartbeat.dead
