--- a/measure/slopes/state.py
+++ b/measure/slopes/state.py
@@ -1,10 +1,9 @@
 """Slopes of membership, keys, ledger, claims and tickets.
 
 State machines alone, in virtual time and from one seed; the wire's part is
-measured over loopback. `python -m slopes.state` prints all of them.
+measured over loopback.
 """
 
-import argparse
 import asyncio
 import random
 import time
@@ -15,10 +14,11 @@
 from dragonflyknot.decisions import keyring, ledger, operations, tickets
 from dragonflyknot.decisions import members as msg
 from dragonflyknot.decisions.document import Revision
-from dragonflyknot.decisions.membership import OTHERS_KEPT, Membership
+from dragonflyknot.decisions.interests import OTHERS_KEPT, WHOLE_VIEW_MEMBERS
+from dragonflyknot.decisions.membership import PROBE_INTERVAL_S, Membership
 from dragonflyknot.peers.gossipwire import encode_gossip
 from harness.gossipfleet import GossipFleet, build_member
-from slopes.callbytes import measure_call_bytes
+from slopes.callbytes import measure_call_bytes, measure_call_us
 from slopes.slope import Slope
 
 SEED = 1
@@ -33,6 +33,9 @@
 WHOLE_SIZES = (10, 30, 100)
 LARGE_SIZES = (1_000, 21_000)
 SPREAD_STEP_S = 0.25
+KEY_BOUND_S = 5.0
+KEY_TICK_S = 0.2
+KEY_TICKS = 150
 BYTES_PER_KB = 1000
 
 
@@ -55,12 +58,16 @@
         return self.sampled_bytes / max(self.sampled, 1)
 
 
-def measure(sizes: tuple[int, ...]) -> Iterator[Slope]:
+def measure(large: bool) -> Iterator[Slope]:
     """Yield every slope, with gossip at each size of the fleet."""
+    sizes = (*WHOLE_SIZES, *(LARGE_SIZES if large else LARGE_SIZES[:1]))
     call_bytes = asyncio.run(measure_call_bytes())
     yield Slope('control call beyond its messages', 'bytes', call_bytes)
+    call_us = asyncio.run(measure_call_us())
+    yield Slope('control call, client and server together', 'us', call_us)
     for size in sizes:
         yield from _gossip(size, call_bytes)
+        yield _key_reads(size)
     yield from _memory()
 
 
@@ -144,6 +151,36 @@
     return fleet
 
 
+def _key_reads(size: int) -> Slope:
+    """Count the reads that keep every copy fresh by gossip and store."""
+    rng = random.Random(SEED)
+    rings = [keyring.Keyring(KEY_BOUND_S) for _ in range(size)]
+    reads = 0
+    for tick in range(KEY_TICKS):
+        now = tick * KEY_TICK_S
+        is_settled = tick * 2 >= KEY_TICKS
+        for ring in rings:
+            if rng.random() < KEY_TICK_S / PROBE_INTERVAL_S:
+                _exchange(ring, rings[rng.randrange(size)], now)
+            if ring.needs_read(now, rng, is_large=size > WHOLE_VIEW_MEMBERS):
+                ring.confirm_by_store(0, now)
+                reads += is_settled
+            assert ring.is_fresh(now)
+    measured_s = KEY_TICKS / 2 * KEY_TICK_S
+    return Slope(
+        f'keys at {size} daemons: store', 'reads/s', reads / measured_s
+    )
+
+
+def _exchange(
+    asker: keyring.Keyring, peer: keyring.Keyring, now: float
+) -> None:
+    told = asker.freshness(now)
+    asker.confirm_by_peer(peer.freshness(now), now)
+    if peer.gains_from(told, now):
+        peer.confirm_by_peer(told, now)
+
+
 def _memory() -> Iterator[Slope]:
     yield Slope('member in a view', 'bytes', _bytes_each(_fill_view))
     yield Slope('ledger attempt', 'bytes', _bytes_each(_fill_ledger))
@@ -206,17 +243,3 @@
         spending = tickets.Spending(ticket, 'w', f'{number:024x}')
         guard.spend(spending, 0)
     return guard
-
-
-def main() -> None:
-    """Print the slopes; `--large` adds the largest fleet."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--large', action='store_true')
-    is_large = parser.parse_args().large
-    sizes = (*WHOLE_SIZES, *(LARGE_SIZES if is_large else LARGE_SIZES[:1]))
-    for slope in measure(sizes):
-        print(f'{slope.figure:12.4g} {slope.unit:11} {slope.name}', flush=True)
-
-
-if __name__ == '__main__':
-    main()
--- a/packages/daemon/src/dragonflyknot/daemon/fleet.py
+++ b/packages/daemon/src/dragonflyknot/daemon/fleet.py
@@ -106,7 +106,7 @@
             service='',
             state=parts.own_state().state,
         )
-        self.client = ControlClient(settings.fleet_secret.get_secret_value())
+        self.client = ControlClient(_control_secret(settings))
         self.calls = PeerCalls(self.client, parts.directory)
         self.gossip = Gossip(
             GossipSettings(
@@ -162,7 +162,7 @@
             _Handlers(self, self._parts),
             host,
             port,
-            settings.fleet_secret.get_secret_value(),
+            _control_secret(settings),
         )
         async with AsyncExitStack() as stack:
             for part in (
@@ -230,6 +230,10 @@
         """Pass a peer's freshness to the keys."""
         self.keys.heard(address, freshness, asked_at)
 
+    def freshness_told(self, address: str, freshness: PeerFreshness) -> None:
+        """Pass on what a peer's message claims of its keys."""
+        self.keys.told(address, freshness)
+
     async def addresses(self, service: str) -> tuple[str, ...]:
         """Return control addresses from the table."""
         return await self._registry.addresses(service)
@@ -254,15 +258,20 @@
             listener(member)
 
     def _choose_witnesses(self) -> None:
-        """Count silent members too, so that no half of a region decides."""
-        region = self._parts.settings.store_region
-        view = self.gossip.machine.view
+        """Count silent members too, so that no half of a region decides.
+
+        In a large fleet no daemon knows a whole region, so there are none.
+        """
         if not self.gossip.machine.keeps_all:
             self.configuration.poll_interval_s = LARGE_FLEET_POLL_S
+            self.keys.is_large = True
+            self.keys.choose_witnesses({}, '')
+            return
+        region = self._parts.settings.store_region
         own = self._own.host if self._own.region == region else ''
         addresses_by_host = {
             member.host: member.peers_grpc
-            for member in view.members_by_host.values()
+            for member in self.gossip.machine.view.members_by_host.values()
             if region and member.region == region
         }
         self.keys.choose_witnesses(addresses_by_host, own)
@@ -326,6 +335,12 @@
     )
 
 
+def _control_secret(settings: Settings) -> str:
+    """Keep daemons of different environments apart, too."""
+    secret = settings.fleet_secret.get_secret_value()
+    return f'{settings.environment}/{secret}'
+
+
 def _followed(calls: str) -> tuple[str, ...]:
     return tuple(
         service for service in split_list(calls) if service != EVERY_SERVICE
--- a/packages/daemon/src/dragonflyknot/daemon/keysync.py
+++ b/packages/daemon/src/dragonflyknot/daemon/keysync.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 
 from dragonflyknot.daemon.tasks import Tasks
 from dragonflyknot.decisions.keyring import (
+    READ_AFTER_S,
     KeyChanges,
     KeyRecord,
     Keyring,
@@ -36,8 +38,7 @@
 )
 
 TICK_S = 0.2
-READ_AFTER_S = 0.4
-READ_TIMEOUT_S = 0.8
+READ_TIMEOUT_S = 0.6
 READ_KEPT_S = 3.0
 ASK_TIMEOUT_S = 0.5
 
@@ -80,11 +81,14 @@
         self._own_witness = ''
         self._failed_at: float | None = None
         self._tasks = Tasks()
+        self._rng = random.Random()
+        self.is_large = False
 
     async def __aenter__(self) -> 'KeyLoop':
         """Start to keep the copy fresh."""
         await self._tasks.__aenter__()
         self._tasks.start(self._run())
+        self._tasks.start(self._run_witnesses())
         return self
 
     async def __aexit__(self, *details: object) -> None:
@@ -114,6 +118,14 @@
         if not self._keyring.confirm_by_peer(freshness, asked_at):
             self._tasks.start(self._catch_up(address))
 
+    def told(self, address: str, freshness: PeerFreshness) -> None:
+        """Ask a peer whose message says that its copy is much fresher.
+
+        How old the message is cannot be known, so it proves nothing itself.
+        """
+        if self._keyring.gains_from(freshness, time.monotonic()):
+            self._tasks.start(self._catch_up(address))
+
     def tell(self, since: int) -> KeysTold:
         """Return what a peer that holds `since` needs to know."""
         return KeysTold(
@@ -144,8 +156,10 @@
 
     async def _run(self) -> None:
         while True:
-            age_s = self._keyring.age_s(time.monotonic())
-            if age_s > READ_AFTER_S or self._failed_at is not None:
+            needs_read = self._keyring.needs_read(
+                time.monotonic(), self._rng, is_large=self.is_large
+            )
+            if needs_read or self._failed_at is not None:
                 await self._refresh()
             await asyncio.sleep(TICK_S)
 
@@ -159,7 +173,6 @@
             case Err(error):
                 self._failed_at = time.monotonic()
                 _log.warning('keys_not_read', reason=str(error))
-                await self._ask_witnesses()
 
     async def _read_store(self) -> Result[_StoreRead, ReadError]:
         try:
@@ -200,13 +213,30 @@
         changes = KeyChanges(since, reached, tuple(records))
         return Ok(_StoreRead(changes, sequence))
 
-    async def _ask_witnesses(self) -> None:
-        await asyncio.gather(
-            *(
-                self._ask_witness(host, address)
-                for host, address in self._addresses_by_witness.items()
-            )
-        )
+    async def _run_witnesses(self) -> None:
+        """Ask while the store fails, without waiting for its next read."""
+        while True:
+            now = time.monotonic()
+            is_old = self._keyring.age_s(now) > READ_AFTER_S
+            if self._failed_at is not None and is_old:
+                await asyncio.gather(
+                    *(
+                        self._ask_witness(host, address)
+                        for host, address in self._addresses_by_witness.items()
+                    )
+                )
+                self._judge()
+            await asyncio.sleep(TICK_S)
+
+    async def _ask_witness(self, host: str, address: str) -> None:
+        asked_at = time.monotonic()
+        told = await self._fetch(address)
+        if told is None:
+            return
+        self._witnesses.hear(host, told.statement, asked_at)
+        self._judge()
+
+    def _judge(self) -> None:
         now = time.monotonic()
         if self._own_witness:
             self._witnesses.hear(self._own_witness, self._statement(), now)
@@ -214,12 +244,6 @@
         if agreed_at is not None:
             self._keyring.confirm_by_outage(agreed_at)
 
-    async def _ask_witness(self, host: str, address: str) -> None:
-        asked_at = time.monotonic()
-        told = await self._fetch(address)
-        if told is not None:
-            self._witnesses.hear(host, told.statement, asked_at)
-
     async def _catch_up(self, address: str) -> None:
         await self._fetch(address)
 
--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import math
 import random
 import time
@@ -51,6 +52,7 @@
 EXIT_OK = 0
 EXIT_CUT_OFF = 1
 HOUSEKEEPING_S = 0.5
+COLLECT_AFTER_OBJECTS = 20_000
 MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
 
@@ -91,11 +93,9 @@
         await self._stack.aclose()
 
     @property
-    def usage(self) -> Usage:
-        """Return the reads and writes of the platform's services."""
-        table = self._backend.table.usage
-        objects = self._backend.objects.usage
-        return Usage(table.reads + objects.reads, table.writes + objects.writes)
+    def usages(self) -> tuple[Usage, Usage]:
+        """Return the use of the table service and of the object store."""
+        return self._backend.table.usage, self._backend.objects.usage
 
     def in_flight(self) -> int:
         """Return the number of requests in flight."""
@@ -211,6 +211,7 @@
             chains=self.chains,
             tally=self.tally,
             rng=random.Random(),
+            gate_limit=lambda: self.turns.report().limit,
         )
 
     async def _listen(self, stack: AsyncExitStack) -> None:
@@ -280,6 +281,14 @@
             await self._sessions.close_unused()
 
 
+def _tune_collector() -> None:
+    # The libraries' objects live as long as the process; walking them again
+    # and again would stop the loop for tens of milliseconds each time.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER_OBJECTS)
+
+
 async def _open_backend(stack: AsyncExitStack, settings: Settings) -> Backend:
     if settings.platform == 'embedded':
         return embedded_backend()
@@ -301,6 +310,7 @@
     """Run until a signal, drain and return the exit code."""
     with lifecycle.StopSignals() as stop:
         async with Daemon(settings) as daemon:
+            _tune_collector()
             _log.info('started', incarnation=daemon.incarnation)
             await stop.first.wait()
             daemon.drain()
