Test the guards that no test had caught

Cause: on scratch copies each guard was removed; the tests passed without the validity from the asking, without the cap on reported grants and with a layout confirmed by some rows only.

--- a/tests/unit/test_leases.py
+++ b/tests/unit/test_leases.py
@@ -36,6 +36,7 @@
     plan_shards,
     select_candidates,
 )
+from dragonflyknot.decisions.ratemessages import LayoutConfirmed
 from dragonflyknot.decisions.witness import Witness
 from experiments.ratefleet import FakeTable
 
@@ -61,6 +62,7 @@
         self.unanswered: set[str] = set()
         self.deaf: set[str] = set()
         self.finished: list[str] = []
+        self.confirmed: list[tuple[str, str]] = []
         candidates = tuple(candidate(host) for host in hosts)
         for host in hosts:
             self.feed(host, CandidatesChanged(candidates))
@@ -102,6 +104,8 @@
                 )
             case Nudge(nudged):
                 self.feed(nudged, Nudged())
+            case LayoutConfirmed(digest):
+                self.confirmed.append((host, digest))
             case StopFinished():
                 self.finished.append(host)
 
@@ -181,6 +185,18 @@
         pair.feed(holder, late)
         self.assertFalse(pair.usable(holder))
 
+    def test_a_layout_is_confirmed_once_all_rows_name_it(self) -> None:
+        pair = Pair('a', 'b')
+        pair.pass_time(12)
+        self.assertIn(('a', 'layout'), pair.confirmed)
+        pair.confirmed.clear()
+        pair.feed('a', LayoutInstalled(2, 'new'))
+        pair.pass_time(12)
+        self.assertEqual([], pair.confirmed)
+        pair.feed('b', LayoutInstalled(2, 'new'))
+        pair.pass_time(12)
+        self.assertEqual({('a', 'new'), ('b', 'new')}, set(pair.confirmed))
+
     def test_a_fenced_daemon_comes_back_with_a_new_term(self) -> None:
         pair = Pair('a', 'b')
         pair.pass_time(6)
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -15,6 +15,8 @@
     EDGE_VALIDITY_S,
     GrantAnswer,
     GrantRequest,
+    HeldGrant,
+    Holdings,
     Settlement,
     Spent,
 )
@@ -245,20 +247,26 @@
         self.assertEqual([], joined.admitted)
 
     def test_a_grant_counts_from_when_it_was_asked_for(self) -> None:
-        joined = network()
-        for _ in range(2):
+        for waited_s, is_valid in ((0.05, True), (0.11, False)):
+            joined = network()
             joined.spend('c')
-        joined.deliver(0)
-        answer = next(
-            message.event
-            for message in joined.messages
-            if isinstance(message.event, GrantAnswered)
-        )
-        joined.messages.clear()
-        joined.pass_time(0.9)
-        joined.feed('c', answer)
-        self.assertIsNotNone(joined.quotas['c'].spend(WORKSPACE, 70.95))
-        self.assertIsNone(joined.quotas['c'].spend(WORKSPACE, 71.01))
+            joined.deliver(0)
+            answer = joined.messages[-1].event
+            joined.messages.clear()
+            joined.pass_time(EDGE_VALIDITY_S - 0.1)
+            joined.feed('c', answer)
+            at = joined.now + 50 + waited_s
+            spent = joined.quotas['c'].spend(WORKSPACE, at)
+            self.assertEqual(is_valid, spent is not None)
+
+    def test_a_token_reported_as_spent_is_not_given_back(self) -> None:
+        holdings = Holdings()
+        holdings.credit(HeldGrant('g', 'a', 5, 5, expires_at=9))
+        parts = list(holdings.take(3, 0))
+        holdings.settle('a', 0, 0)
+        for part in parts:
+            holdings.give_back(part, 0)
+        self.assertEqual(2, holdings.total(0))
 
     def test_a_doubled_answer_is_credited_once(self) -> None:
         joined = network()
