--- a/measure/experiments/scenarios.py
+++ b/measure/experiments/scenarios.py
@@ -32,6 +32,7 @@
 WORKSPACES = 8
 STEADY_LOAD = 0.7
 IMPORTANT_LOAD = 0.25
+LYING_LOAD = 0.3
 WINDOW = Window(1, 4)
 QUICK_WINDOW = Window(1, 2)
 QUICK_NAMES = frozenset(
@@ -92,7 +93,7 @@
     yield Scenario(
         'lying-slots-overload',
         long,
-        _mixed(_flat),
+        _mixed(Surge(STEADY_LOAD, long, LYING_LOAD)),
         _lying_everywhere,
         len(PLACES) * LYING_SLOTS,
     )
@@ -107,10 +108,11 @@
 
     peak: float
     window: Window
+    base: float = STEADY_LOAD
 
     def __call__(self, moment: float) -> float:
         """Return the load at a moment."""
-        return self.peak if self.window.has(moment) else STEADY_LOAD
+        return self.peak if self.window.has(moment) else self.base
 
 
 def _flat(moment: float) -> float:
--- a/packages/decisions/src/dragonflyknot/decisions/targets.py
+++ b/packages/decisions/src/dragonflyknot/decisions/targets.py
@@ -18,6 +18,7 @@
 SUSPICION_S = 1.0
 REPORT_AGE_S = 0.5
 PROBE_INTERVAL_S = 0.1
+FRESH_S = 0.02
 HEARSAY_DELAY_S = 3.0
 REFUSED_S = 0.2
 MAX_REFUSED_CLAIMS = 1024
@@ -193,6 +194,12 @@
             self.ejections = 0
 
     def _may_probe(self, now: float) -> bool:
+        """Return whether the report is too old to refuse by it.
+
+        Across the link between regions one probe has to do.
+        """
+        if self.distance is not Distance.FAR:
+            return now - self.reported_at >= FRESH_S
         last = max(self.reported_at, self.probed_at)
         return now - last >= PROBE_INTERVAL_S
 
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -104,10 +104,16 @@
         self.assertEqual(NEAR, _choose(router, priority=7))
 
     def test_a_probe_finds_out_that_a_gate_has_room_again(self) -> None:
+        router = _router(FAR)
+        _end(router, FAR, Ending.DONE, report=_report(7, 8))
+        found = [_choose(router, now) for now in (0.05, 0.2, 0.21, 0.4)]
+        self.assertEqual([Refusal.SHED, FAR, Refusal.SHED, FAR], found)
+
+    def test_an_old_report_of_a_near_gate_refuses_nothing(self) -> None:
         router = _router(NEAR)
         _end(router, NEAR, Ending.DONE, report=_report(7, 8))
-        found = [_choose(router, now) for now in (0.05, 0.2, 0.21, 0.4)]
-        self.assertEqual([Refusal.SHED, NEAR, Refusal.SHED, NEAR], found)
+        found = [_choose(router, now) for now in (0.01, 0.03, 0.031)]
+        self.assertEqual([Refusal.SHED, NEAR, NEAR], found)
 
     def test_a_refused_workspace_tries_other_gates_first(self) -> None:
         router = _router(NEAR, FAR)
