--- a/packages/decisions/src/dragonflyknot/decisions/leaserows.py
+++ b/packages/decisions/src/dragonflyknot/decisions/leaserows.py
@@ -11,6 +11,7 @@
 from dragonflyknot.decisions.placement import Candidate
 from dragonflyknot.decisions.ratemessages import (
     HoldersChanged,
+    LayoutConfirmed,
     LeaseExtended,
     ShardGained,
     ShardLost,
@@ -31,9 +32,9 @@
     shards: int = 16
     lease_s: float = 300
     renew_s: float = 20
-    witness_lease_s: float = 2
-    witness_ask_s: float = 0.5
-    witness_silent_s: float = 0.7
+    witness_lease_s: float = 1
+    witness_ask_s: float = 0.25
+    witness_silent_s: float = 0.4
     margin_s: float = 0.3
     poll_s: float = 5
     retry_s: float = 1
@@ -41,12 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardRow:
-    """Name the holder of a shard and its process."""
+    """Name the holder of a shard, its process and its layout.
+
+    The layout of `revision` is the one that the holder follows.
+    """
 
     shard: int
     holder: str
     daemon: str
     epoch: int
+    revision: int = 0
+    layout: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +141,7 @@
     | StopFinished
     | ShardGained
     | ShardLost
+    | LayoutConfirmed
     | LeaseExtended
     | HoldersChanged
 )
@@ -182,6 +189,14 @@
     candidates: tuple[Candidate, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LayoutInstalled:
+    """Follow the layout of a revision; the quota was told before."""
+
+    revision: int
+    digest: str
+
+
 @dataclass(frozen=True, slots=True)
 class WitnessAsked:
     """Receive a holder's request for a short lease."""
@@ -221,6 +236,7 @@
     | RowRefused
     | RowUnanswered
     | CandidatesChanged
+    | LayoutInstalled
     | WitnessAsked
     | WitnessAnswered
     | Nudged
