Wait until every edge serves before a real surge begins

Cause: with leased rates a fresh fleet has no tokens for some seconds, and surges that began then measured the start instead.

--- a/measure/experiments/surge.py
+++ b/measure/experiments/surge.py
@@ -35,6 +35,7 @@
 TIMEOUT_MS = 2000
 WORKSPACES = ('ash', 'birch', 'cedar', 'elm')
 SETTLE_S = 1.5
+SERVED_TIMEOUT_S = 30.0
 WARM_UP_S = 1.5
 STEADY_LOAD = 0.6
 IMPORTANT_LOAD = 0.25
@@ -189,8 +190,9 @@
         aiohttp.ClientSession(connector=connector) as session,
     ):
         keys = {name: await fleet.issue_key(name) for name in WORKSPACES}
-        await asyncio.sleep(SETTLE_S)
         runs = _Runs(fleet, session, keys, seed)
+        await runs.until_served()
+        await asyncio.sleep(SETTLE_S)
         return tuple([await runs.pair(scenario) for scenario in scenarios])
 
 
@@ -203,6 +205,14 @@
     keys_by_workspace: dict[str, str]
     seed: int
 
+    async def until_served(self) -> None:
+        """Wait until every edge serves every workspace."""
+        path = PREFIXES_BY_PRIORITY[9]
+        async with asyncio.timeout(SERVED_TIMEOUT_S):
+            for edge in self._edges(with_daemons=True):
+                for key in self.keys_by_workspace.values():
+                    await _until_whole(self.session, edge, key, path)
+
     async def pair(self, scenario: Scenario) -> Figures:
         """Measure with the daemons and, if there is one, the baseline."""
         measured = await self._measure(scenario, with_daemons=True)
@@ -236,6 +246,16 @@
         return [addresses[host].service for host in fronts]
 
 
+async def _until_whole(
+    session: aiohttp.ClientSession, edge: str, key: str, path: str
+) -> None:
+    while True:
+        result = await shoot(session, edge, key, Shot('GET', path))
+        if result.is_whole:
+            return
+        await asyncio.sleep(RESEND_S)
+
+
 async def _slow_down(scenario: Scenario, fleet: Fleet) -> None:
     if not scenario.is_deep_slow:
         return
