Set one timer for an attempt and none for an empty body

Cause: the edge set three timers for each request: around the reading of the body, for the deadline of the attempt and for its first probe.

Now the watch sets one timer: for the deadline where it comes before the first probe, else for the probe, which then sets the deadline. A request without a body sets no timer for reading it.

New unit tests hold the three ways in which the wait ends.

--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -129,9 +129,8 @@
     async def _received(
         self, run: CallRun, attempt: Attempt
     ) -> sending.Received:
-        left_s = run.call.deadline - time.monotonic()
         sender = self._ports.sender
-        scope = asyncio.timeout(max(left_s, 0))
+        scope = asyncio.timeout(None)
         watch = Watch(sender, attempt, scope)
         try:
             async with scope:
--- a/packages/callers/src/dragonflyknot/callers/edge.py
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -25,7 +25,7 @@
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.retry import RetryPool, spread_retry_after_s
 from dragonflyknot.exchange import sending
-from dragonflyknot.exchange.bodies import read_body
+from dragonflyknot.exchange.bodies import RequestBody, read_body
 from dragonflyknot.exchange.heads import request_head
 from dragonflyknot.exchange.hops import MAX_DEPTH
 from dragonflyknot.exchange.refusing import Refused, refusal_response
@@ -258,11 +258,8 @@
     async def _send(
         self, request: web.BaseRequest, admitted: Admitted
     ) -> Ending:
-        left_s = admitted.call.deadline - time.monotonic()
-        try:
-            async with asyncio.timeout(max(left_s, 0)):
-                body = await read_body(request)
-        except TimeoutError:
+        body = await _read_in_time(request, admitted.call.deadline)
+        if body is None:
             return Refused(Refusal.NO_TIME, RETRY_AFTER_S)
         outgoing = sending.Outgoing(
             method=request.method,
@@ -336,6 +333,20 @@
     )
 
 
+async def _read_in_time(
+    request: web.BaseRequest, deadline: float
+) -> RequestBody | None:
+    if not request.can_read_body:
+        # Nothing is awaited then, so the timer would be set for nothing.
+        return await read_body(request)
+    left_s = deadline - time.monotonic()
+    try:
+        async with asyncio.timeout(max(left_s, 0)):
+            return await read_body(request)
+    except TimeoutError:
+        return None
+
+
 def _has_failed(response: web.StreamResponse) -> bool:
     return names.OUTCOME in response.headers or response.status >= _SERVER_ERROR
 
--- a/packages/callers/src/dragonflyknot/callers/watch.py
+++ b/packages/callers/src/dragonflyknot/callers/watch.py
@@ -3,9 +3,12 @@
 An attempt without an answer for a while is resolved over another
 connection. If the gate never saw it, or ended it without the answer coming
 through, the wait ends; while it is queued or running, the wait goes on.
+Most answers come before the first probe, so one timer serves both the probe
+and the deadline of the attempt.
 """
 
 import asyncio
+import time
 from types import TracebackType
 from typing import Protocol
 
@@ -33,18 +36,24 @@
     def __init__(
         self, resolver: Resolving, attempt: Attempt, scope: asyncio.Timeout
     ) -> None:
-        """Keep the timeout scope that a verdict ends early."""
+        """Keep the open timeout scope; the watch sets when it ends."""
         self._resolver = resolver
         self._attempt = attempt
         self._scope = scope
+        self._deadline: float = 0
         self._timer: asyncio.TimerHandle | None = None
         self._probe: asyncio.Task[None] | None = None
         self.resolved: ledger.Resolved | None = None
 
     def __enter__(self) -> 'Watch':
-        """Begin to wait for the time of the first probe."""
+        """Begin to wait for the deadline or the time of the first probe."""
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(PROBE_AFTER_S, self._start)
+        left_s = max(self._attempt.call.deadline - time.monotonic(), 0)
+        self._deadline = loop.time() + left_s
+        if left_s <= PROBE_AFTER_S:
+            self._scope.reschedule(self._deadline)
+        else:
+            self._timer = loop.call_later(PROBE_AFTER_S, self._start)
         return self
 
     def __exit__(
@@ -60,6 +69,7 @@
             self._probe.cancel()
 
     def _start(self) -> None:
+        self._scope.reschedule(self._deadline)
         self._probe = asyncio.ensure_future(self._probe_until_ended())
 
     async def _probe_until_ended(self) -> None:
--- /dev/null
+++ b/tests/unit/test_watch.py
@@ -0,0 +1,68 @@
+"""Check how the wait for the answer of an attempt ends."""
+
+import asyncio
+import time
+
+import testtools
+
+from asyncrun import run_async
+from dragonflyknot.callers.watch import PROBE_AFTER_S, Watch
+from dragonflyknot.decisions import ledger
+from dragonflyknot.decisions.calls import Attempt, Call
+
+
+class ScriptedResolver:
+    """Answer every question about an attempt in the same way."""
+
+    def __init__(self, resolved: ledger.Resolved) -> None:
+        """Keep the answer."""
+        self._resolved = resolved
+        self.asked = 0
+        self.suspected: list[str] = []
+
+    async def resolve(self, attempt: Attempt) -> ledger.Resolved:
+        """Count the question and answer it."""
+        self.asked += 1
+        return self._resolved
+
+    def suspect(self, host: str) -> None:
+        """Note the host."""
+        self.suspected.append(host)
+
+
+async def wait(resolver: ScriptedResolver, left_s: float) -> Watch:
+    """Watch an attempt that gets no answer, until the wait ends."""
+    call = Call('r', 'r', 'w', 's', 5, time.monotonic() + left_s)
+    scope = asyncio.timeout(None)
+    watch = Watch(resolver, Attempt('0.r.1', 'north', 1, call), scope)
+    try:
+        async with scope:
+            with watch:
+                await asyncio.Event().wait()
+    except TimeoutError:
+        return watch
+    raise AssertionError
+
+
+class SilentAttemptTest(testtools.TestCase):
+    """The deadline or a verdict of the gate ends the wait."""
+
+    def test_deadline_before_the_first_probe(self) -> None:
+        for left_s in (-1, 0, PROBE_AFTER_S / 10):
+            resolver = ScriptedResolver(ledger.ResolvedRunning())
+            watch = run_async(wait(resolver, left_s))
+            self.assertIsNone(watch.resolved)
+            self.assertEqual(0, resolver.asked)
+
+    def test_deadline_while_the_attempt_runs(self) -> None:
+        resolver = ScriptedResolver(ledger.ResolvedRunning())
+        watch = run_async(wait(resolver, PROBE_AFTER_S * 1.5))
+        self.assertIsNone(watch.resolved)
+        self.assertEqual(1, resolver.asked)
+        self.assertEqual([], resolver.suspected)
+
+    def test_verdict_before_the_deadline(self) -> None:
+        resolver = ScriptedResolver(ledger.ResolvedNever())
+        watch = run_async(wait(resolver, 60))
+        self.assertEqual(ledger.ResolvedNever(), watch.resolved)
+        self.assertEqual(['north'], resolver.suspected)
