Keep the texts of load reports

Cause: each answer encoded the gate's load as JSON and validated it again at the edge, though a gate reports the same few loads again and again.

Now a bounded cache keeps texts and reports in both directions.

--- a/packages/exchange/src/dragonflyknot/exchange/hops.py
+++ b/packages/exchange/src/dragonflyknot/exchange/hops.py
@@ -2,10 +2,12 @@
 
 The edge describes an attempt in one header. The gate answers with its load
 in another. Times travel as the milliseconds that remain. Fields that a
-reader does not know are ignored, so that two versions can talk.
+reader does not know are ignored, so that two versions can talk. A gate
+reports the same few loads again and again, so their texts are kept.
 """
 
 import json
+from functools import lru_cache
 from typing import Annotated, NotRequired
 
 from pydantic import Field, TypeAdapter, ValidationError
@@ -21,6 +23,7 @@
 
 MS_PER_SECOND = 1000
 MAX_DEPTH = 64
+KEPT_LOADS = 1024
 
 _Id = Annotated[str, Field(min_length=1, max_length=64)]
 _Name = Annotated[str, Field(max_length=128)]
@@ -103,6 +106,7 @@
     return Ok(Attempt(wire['attempt'], wire['host'], wire['incarnation'], call))
 
 
+@lru_cache(KEPT_LOADS)
 def encode_load(report: LoadReport) -> str:
     """Return the header text of a load report."""
     wire: _WireLoad = {
@@ -117,6 +121,7 @@
     return json.dumps(wire)
 
 
+@lru_cache(KEPT_LOADS)
 def decode_load(text: str | None) -> LoadReport | None:
     """Return the load report, or None where it is absent or malformed."""
     if text is None:
