--- a/packages/callers/src/dragonflyknot/callers/watch.py
+++ b/packages/callers/src/dragonflyknot/callers/watch.py
@@ -6,6 +6,8 @@
 longer, in proportion to its time. If the gate never saw it, or ended it
 without the answer coming through, the wait ends; while it is queued or
 running, the wait goes on.
+Most answers come before the first probe, so one timer serves both the probe
+and the deadline of the attempt.
 """
 
 import asyncio
@@ -39,19 +41,27 @@
     def __init__(
         self, resolver: Resolving, attempt: Attempt, scope: asyncio.Timeout
     ) -> None:
-        """Keep the timeout scope that a verdict ends early."""
+        """Keep the open timeout scope; the watch sets when it ends."""
         self._resolver = resolver
         self._attempt = attempt
         self._scope = scope
+        self._deadline: float = 0
         self._timer: asyncio.TimerHandle | None = None
         self._probe: asyncio.Task[None] | None = None
         self.resolved: ledger.Resolved | None = None
 
     def __enter__(self) -> 'Watch':
-        """Begin to wait for the time of the first probe."""
+        """Begin to wait for the deadline or the time of the first probe."""
         loop = asyncio.get_running_loop()
-        patience_s = _patience_s(self._attempt.call, time.monotonic())
-        self._timer = loop.call_later(patience_s, self._start)
+        now = time.monotonic()
+        call = self._attempt.call
+        left_s = max(call.deadline - now, 0)
+        patience_s = _patience_s(call, now)
+        self._deadline = loop.time() + left_s
+        if left_s <= patience_s:
+            self._scope.reschedule(self._deadline)
+        else:
+            self._timer = loop.call_later(patience_s, self._start)
         return self
 
     def __exit__(
@@ -67,6 +77,7 @@
             self._probe.cancel()
 
     def _start(self) -> None:
+        self._scope.reschedule(self._deadline)
         self._probe = asyncio.ensure_future(self._probe_until_ended())
 
     async def _probe_until_ended(self) -> None:
