--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -32,6 +32,16 @@
 _log = structlog.get_logger(__name__)
 
 _SERVER_ERROR = 500
+# A gate that leaves or was restarted refuses whatever the load is, so these
+# retries are bounded by the pool alone.
+_NOT_BY_LOAD = frozenset(
+    (
+        Refusal.DRAINING,
+        Refusal.NO_UPSTREAM,
+        Refusal.REVOKED,
+        Refusal.WRONG_INCARNATION,
+    )
+)
 
 Ending = web.StreamResponse | Refused
 
@@ -214,6 +224,8 @@
         now = time.monotonic()
         if now >= run.call.deadline:
             return False
+        if refused.refusal in _NOT_BY_LOAD:
+            return run.pool.spend()
         return self._pay_retry(run, now)
 
     def _pay_retry(self, run: CallRun, now: float) -> bool:
--- a/packages/callers/src/dragonflyknot/callers/edge.py
+++ b/packages/callers/src/dragonflyknot/callers/edge.py
@@ -34,6 +34,7 @@
 TICKETS_PATH = '/.dragonflyknot/tickets'
 RETRY_AFTER_S = 1.0
 RETURN_MARGIN_S = 0.002
+UNIDENTIFIED = '_unidentified'
 _SERVER_ERROR = 500
 
 _NO_HEADERS = MappingProxyType[str, str]({})
@@ -56,7 +57,7 @@
     """Hold a request that did not pass its checks."""
 
     refused: Refused
-    workspace: str = ''
+    workspace: str = UNIDENTIFIED
 
 
 class Edge:
@@ -92,7 +93,7 @@
         parent = self._ports.chains.find(chain_id)
         if parent is None:
             refused = Refused(Refusal.CHAIN_UNKNOWN)
-            return self._refusal(refused, '', request_id, request)
+            return self._refusal(refused, UNIDENTIFIED, request_id, request)
         inherited = self._inherit(request, parent, request_id)
         self._deeper_started(parent, inherited)
         is_failed = True
@@ -297,7 +298,7 @@
             request=request_id,
         )
         response = refusal_response(
-            spread, workspace, request_id, self._closing(request)
+            spread, _shown(workspace), request_id, self._closing(request)
         )
         return response
 
@@ -313,7 +314,7 @@
         )
         if isinstance(workspace, Refusal):
             refused = Refused(workspace, _delay(workspace))
-            return self._refusal(refused, '', request_id, request)
+            return self._refusal(refused, UNIDENTIFIED, request_id, request)
         ticket = self._ports.operations.issue_ticket()
         return web.json_response({'idempotency_key': ticket})
 
@@ -359,5 +360,9 @@
             return True
 
 
+def _shown(workspace: str) -> str:
+    return '' if workspace == UNIDENTIFIED else workspace
+
+
 def _delay(refusal: Refusal) -> float:
     return RETRY_AFTER_S if refusal is Refusal.KEYS_STALE else 0
--- a/packages/callers/src/dragonflyknot/callers/ports.py
+++ b/packages/callers/src/dragonflyknot/callers/ports.py
@@ -55,8 +55,8 @@
     async def resolve(self, attempt: Attempt) -> Resolved:
         """Ask the gate what became of an attempt over a new connection."""
 
-    def suspect(self, host: str) -> None:
-        """Use new connections to a host from now on."""
+    def suspect(self, host: str, since: float) -> None:
+        """Use new connections where none has answered since a time."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/callers/src/dragonflyknot/callers/watch.py
+++ b/packages/callers/src/dragonflyknot/callers/watch.py
@@ -31,8 +31,8 @@
     async def resolve(self, attempt: Attempt) -> ledger.Resolved:
         """Return what the gate knows; *never* binds."""
 
-    def suspect(self, host: str) -> None:
-        """Use new connections to a host from now on."""
+    def suspect(self, host: str, since: float) -> None:
+        """Use new connections where none has answered since a time."""
 
 
 class Watch:
@@ -46,6 +46,7 @@
         self._attempt = attempt
         self._scope = scope
         self._deadline: float = 0
+        self._began: float = 0
         self._timer: asyncio.TimerHandle | None = None
         self._probe: asyncio.Task[None] | None = None
         self.resolved: ledger.Resolved | None = None
@@ -54,6 +55,7 @@
         """Begin to wait for the deadline or the time of the first probe."""
         loop = asyncio.get_running_loop()
         now = time.monotonic()
+        self._began = now
         call = self._attempt.call
         left_s = max(call.deadline - now, 0)
         patience_s = _patience_s(call, now)
@@ -86,10 +88,11 @@
             if _has_ended(resolved):
                 break
             await asyncio.sleep(PROBE_EVERY_S)
-        # The answer may be on its way; it goes before the verdict.
-        await asyncio.sleep(GRACE_S)
+        if isinstance(resolved, ledger.ResolvedFinished):
+            # The answer may be on its way; it goes before the verdict.
+            await asyncio.sleep(GRACE_S)
         self.resolved = resolved
-        self._resolver.suspect(self._attempt.host)
+        self._resolver.suspect(self._attempt.host, self._began)
         self._scope.reschedule(asyncio.get_running_loop().time())
 
 
--- a/packages/daemon/src/dragonflyknot/daemon/rates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/rates.py
@@ -116,6 +116,16 @@
         self._refuse_waiting()
         await self._tasks.__aexit__(*details)
 
+    @property
+    def held(self) -> frozenset[int]:
+        """Return the shards that this daemon holds."""
+        return self._keeper.held
+
+    @property
+    def usable_until(self) -> float:
+        """Return until when the shards may be used, in monotonic seconds."""
+        return self._keeper.usable_until
+
     async def spend(
         self, workspace: str, request_id: str, deadline: float
     ) -> Spent | RateRefused:
--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -28,7 +28,7 @@
 from dragonflyknot.decisions.document import Configuration, Service
 from dragonflyknot.decisions.keyring import Keyring
 from dragonflyknot.decisions.ledger import Ledger
-from dragonflyknot.decisions.members import Member, OwnChanged
+from dragonflyknot.decisions.members import Member, OwnChanged, Standing
 from dragonflyknot.decisions.retry import RetryBudget
 from dragonflyknot.decisions.routing import Router
 from dragonflyknot.exchange.sessions import relay_session
@@ -102,7 +102,11 @@
     def members(self) -> tuple[Member, ...]:
         """Return the daemons that this one knows."""
         view = self.fleet.gossip.machine.view
-        return tuple(view.members_by_host.values())
+        return tuple(
+            member
+            for member in view.members_by_host.values()
+            if member.standing is not Standing.GONE
+        )
 
     def missing(self) -> tuple[str, ...]:
         """Return why callers cannot be served yet, empty if they can."""
--- a/packages/daemon/src/dragonflyknot/daemon/status.py
+++ b/packages/daemon/src/dragonflyknot/daemon/status.py
@@ -19,6 +19,7 @@
     DaemonState,
     Dump,
     KeysDump,
+    LeaseDump,
     MemberDump,
     RevisionDump,
     ServiceDump,
@@ -103,6 +104,7 @@
         services=_services(daemon, now),
         link_bytes=dict(daemon.router.link_bytes_by_region),
         keys=_keys(daemon, now),
+        leases=_leases(daemon, now),
         store=_store(daemon),
         taken_at=time.time(),
     )
@@ -169,6 +171,14 @@
     return {announcement.service: gauges}
 
 
+def _leases(daemon: 'Daemon', now: float) -> tuple[LeaseDump, ...]:
+    lapses_in_s = max(daemon.rates.usable_until - now, 0)
+    return tuple(
+        LeaseDump(shard=shard, lapses_in_s=lapses_in_s)
+        for shard in sorted(daemon.rates.held)
+    )
+
+
 def _keys(daemon: 'Daemon', now: float) -> KeysDump:
     keyring = daemon.keyring
     return KeysDump(
--- a/packages/decisions/src/dragonflyknot/decisions/leases.py
+++ b/packages/decisions/src/dragonflyknot/decisions/leases.py
@@ -77,6 +77,11 @@
         """Return the shards that this daemon holds."""
         return frozenset(self._epochs_by_held)
 
+    @property
+    def usable_until(self) -> float:
+        """Return until when the shards may be used, in monotonic seconds."""
+        return self._usable_until
+
     def handle(self, event: LeaseEvent, now: float) -> tuple[LeaseCommand, ...]:
         """Take in an event and return what is to be done."""
         commands = list(self._dispatch(event, now))
--- a/packages/operators/src/dragonflyknot/operators/dump.py
+++ b/packages/operators/src/dragonflyknot/operators/dump.py
@@ -83,11 +83,9 @@
 
 
 class LeaseDump(DumpModel):
-    """Describe a lease that this daemon holds on a shard of a rate."""
+    """Describe a lease that this daemon holds on a shard of the rates."""
 
-    workspace: str
     shard: int
-    epoch: int
     lapses_in_s: float
 
 
--- a/packages/peers/src/dragonflyknot/peers/forward.py
+++ b/packages/peers/src/dragonflyknot/peers/forward.py
@@ -31,6 +31,7 @@
 from dragonflyknot.peers.sessions import PeerSessions
 
 FINAL_REFUSAL = 'final'
+_UNOPENED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 class Resolver(Protocol):
@@ -67,7 +68,7 @@
             return Lost(was_sent=False)
         try:
             answer = await self._request(attempt, outgoing, address.requests)
-        except aiohttp.ClientConnectorError:
+        except _UNOPENED:
             return Lost(was_sent=False)
         except (aiohttp.ClientError, OSError):
             return Lost(was_sent=True)
@@ -80,9 +81,9 @@
         """Ask the gate what became of an attempt."""
         return await self._resolver.resolve(attempt)
 
-    def suspect(self, host: str) -> None:
-        """Use new connections to a host from now on."""
-        self._sessions.suspect(host)
+    def suspect(self, host: str, since: float) -> None:
+        """Use new connections where none has answered since a time."""
+        self._sessions.suspect(host, since)
 
     async def _request(
         self, attempt: Attempt, outgoing: Outgoing, address: str
--- a/packages/peers/src/dragonflyknot/peers/sessions.py
+++ b/packages/peers/src/dragonflyknot/peers/sessions.py
@@ -1,10 +1,12 @@
 """Hold an HTTP session for each daemon that requests are forwarded to.
 
-When a connection to a daemon falls silent, its other old connections are
-suspected too: a new session takes over, and the old one closes when its last
-request has ended.
+When a connection to a daemon falls silent, something on the way has lost track
+of it. Its other old connections are suspected too, and so are those of every
+daemon that has not answered since: new sessions take over, and each old one
+closes when its last request has ended.
 """
 
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -18,6 +20,7 @@
 @dataclass(slots=True)
 class _Entry:
     session: aiohttp.ClientSession
+    answered_at: float
     uses: int = 0
 
 
@@ -50,19 +53,27 @@
         """Lend the session of a host for one request."""
         entry = self._entries_by_host.get(host)
         if entry is None:
-            entry = _Entry(self._factory())
+            entry = _Entry(self._factory(), time.monotonic())
             self._entries_by_host[host] = entry
         entry.uses += 1
         try:
             yield entry.session
+            entry.answered_at = time.monotonic()
         finally:
             entry.uses -= 1
 
-    def suspect(self, host: str) -> None:
-        """Use new connections to a host from now on."""
-        entry = self._entries_by_host.pop(host, None)
-        if entry is not None:
-            self._suspected.append(entry)
+    def suspect(self, host: str, since: float) -> None:
+        """Replace the sessions of a host and of all silent since a time.
+
+        `since` is in monotonic seconds.
+        """
+        suspects = [
+            other
+            for other, entry in self._entries_by_host.items()
+            if other == host or entry.answered_at < since
+        ]
+        for suspected in suspects:
+            self._suspected.append(self._entries_by_host.pop(suspected))
 
     async def close_unused(self) -> None:
         """Close the suspected sessions that no request uses any more."""
--- a/packages/upstreams/src/dragonflyknot/upstreams/dispatch.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/dispatch.py
@@ -22,6 +22,7 @@
 
 _DEFAULT_RETRY_AFTER_S = 1.0
 _UNAVAILABLE = 503
+_UNOPENED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +44,7 @@
     try:
         async with asyncio.timeout(max(left_s, 0)):
             answer = await _request(session, dispatch, body, left_s)
-    except aiohttp.ClientConnectorError:
+    except _UNOPENED:
         return Refused(Refusal.NO_UPSTREAM, _DEFAULT_RETRY_AFTER_S)
     except (TimeoutError, aiohttp.SocketTimeoutError):
         return Refused(Refusal.UPSTREAM_SILENT)
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -64,7 +64,7 @@
         """Return the scripted resolution."""
         return self.resolved
 
-    def suspect(self, host: str) -> None:
+    def suspect(self, host: str, since: float) -> None:
         """Accept the suspicion."""
 
 
--- a/tests/unit/test_watch.py
+++ b/tests/unit/test_watch.py
@@ -25,7 +25,7 @@
         self.asked += 1
         return self._resolved
 
-    def suspect(self, host: str) -> None:
+    def suspect(self, host: str, since: float) -> None:
         """Note the host."""
         self.suspected.append(host)
 
