Retry over a new connection whatever the retry budget holds

Cause: a connection that fell silent is no sign of overload, yet its retries drew on the budget against overload, whose floor is 3 a workspace. Before: 4 of 10 requests whole in the first wave of the silent connections test when the budget was full, 0 of 10 when an earlier test had used it.

--- a/measure/slopes/flow.py
+++ b/measure/slopes/flow.py
@@ -1,6 +1,7 @@
 """Slopes of admission, routing and retries: microseconds an event.
 
-State machines alone, from one seed. `python -m slopes.flow` prints them.
+State machines alone, from one seed; `python -m slopes.main --only flow` prints
+them.
 """
 
 import random
--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -224,7 +224,7 @@
         now = time.monotonic()
         if now >= run.call.deadline:
             return False
-        if refused.refusal in _NOT_BY_LOAD:
+        if not _is_by_load(refused):
             return run.pool.spend()
         return self._pay_retry(run, now)
 
@@ -237,6 +237,13 @@
         return True
 
 
+def _is_by_load(refused: Refused) -> bool:
+    if refused.refusal in _NOT_BY_LOAD:
+        return False
+    # A gate that finished an attempt lost its connection, not its capacity.
+    return refused.outcome is not Outcome.RAN
+
+
 def _share(left: int) -> int:
     # A deep hop retries best, but a lost attempt loses what it was handed.
     return left - 1 if left > 2 else left
