Blame the connection, not the gate, where the gate answers

Cause: attempts lost on silent connections counted as failures of the gate, which was then ejected although it had answered the resolve: 4 of 10 requests of the next wave were shed.

--- a/packages/callers/src/dragonflyknot/callers/attempts.py
+++ b/packages/callers/src/dragonflyknot/callers/attempts.py
@@ -264,6 +264,11 @@
             return routing.Ending.FAILED
         case sending.Rejected(refused):
             return _ending_of_refusal(refused)
+        case sending.Lost(
+            resolved=ledger.ResolvedNever() | ledger.ResolvedFinished()
+        ):
+            # The gate answered over a new connection, so it is not to blame.
+            return routing.Ending.CANCELLED
         case sending.Lost(was_sent=True):
             return routing.Ending.SILENT
         case sending.Lost():
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -74,6 +74,8 @@
                 'requests-listen': requests,
                 'control-listen': control,
                 'fleet-secret': 'a secret of the whole fleet',
+                'table-endpoint': 'http://127.0.0.1:1',
+                'objects-endpoint': 'http://127.0.0.1:1',
                 'store-region': 'region0',
                 'seeds': first,
             },
