--- a/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
@@ -77,6 +77,13 @@
             yield f'dragonflyknot_answered{{status="{status}"}} {count}'
         for kind, count in sorted(counts.refused_by_kind.items()):
             yield f'dragonflyknot_refused{{kind="{kind}"}} {count}'
+        for basis, count in host.rates.admitted_by_basis.items():
+            yield (
+                f'dragonflyknot_rate_admitted{{basis="{basis.value}"}} {count}'
+            )
+        yield (
+            f'dragonflyknot_meter_reporting_hosts {host.rates.reporting_hosts}'
+        )
         yield f'dragonflyknot_cancelled {counts.cancelled}'
         yield f'dragonflyknot_log_lines_dropped {counts.log.dropped}'
         yield f'dragonflyknot_in_flight {host.in_flight}'
--- a/packages/daemon/src/dragonflyknot/daemon/siterates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siterates.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from functools import lru_cache
 from hashlib import sha256
 from typing import Final
@@ -17,6 +18,7 @@
 from dragonflyknot.daemon.sitemembers import SiteMembers
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.demand import (
+    AdmissionBasis,
     Allowance,
     DemandMeter,
     RateLimit,
@@ -34,6 +36,7 @@
 ASK_S: Final = 0.4
 AVOID_S: Final = 3.0
 MOST_RANKS: Final = 32_768
+LOG_INTERVAL_S: Final = 1.0
 _log = structlog.get_logger(__name__)
 
 
@@ -56,6 +59,20 @@
         self._avoided_until_by_host: dict[str, float] = {}
         self._limits_by_workspace: dict[str, RateLimit] = {}
         self._is_busy = False
+        self._meter_host = ''
+        self._logged_at = float('-inf')
+        self._logged_by_basis: Counter[AdmissionBasis] = Counter()
+        self._logged_reporting_hosts = 0
+
+    @property
+    def admitted_by_basis(self) -> Counter[AdmissionBasis]:
+        """Return the number of limited requests admitted, by basis."""
+        return self._share.admitted_by_basis
+
+    @property
+    def reporting_hosts(self) -> int:
+        """Return the number of hosts that report to the meter here."""
+        return self._meter.reporting_hosts
 
     def admit(self, workspace: str, rate: float, now: float) -> bool:
         """Count a request; return whether it is within the rate."""
@@ -97,6 +114,7 @@
             )
             self._urgent.clear()
             self._is_busy = False
+            self._log_admissions(time.monotonic())
             told = self._share.report(time.monotonic())
             if told:
                 await self._report(told)
@@ -110,6 +128,7 @@
 
     async def _report(self, told: dict[str, WorkspaceDemand]) -> None:
         meter = self._choose()
+        self._log_meter(self._host if meter is None else meter.place.host)
         report = sitewire.DemandReport(self._host, told, self._share.known())
         if meter is None or meter.place.host == self._host:
             self._learn(told, self._measure(report))
@@ -134,13 +153,54 @@
         self._share.apply_reply(told, fleet, time.monotonic())
 
     def _measure(self, report: sitewire.DemandReport) -> dict[str, Allowance]:
-        return self._meter.record_report(
+        allowances = self._meter.record_report(
             report.host,
             report.demand,
             report.known,
             self._limits_by_workspace,
             time.monotonic(),
         )
+        for started in self._meter.take_started_buckets():
+            _log.info(
+                'bucket_started',
+                workspace=started.workspace,
+                tokens=round(started.tokens, 1),
+                reporting_hosts=started.reporting_hosts,
+                hosts=started.hosts,
+            )
+        return allowances
+
+    def _log_meter(self, host: str) -> None:
+        if host != self._meter_host:
+            _log.info(
+                'meter_chosen',
+                meter=host,
+                previous=self._meter_host,
+                hosts=self._share.hosts,
+            )
+            self._meter_host = host
+
+    def _log_admissions(self, now: float) -> None:
+        """Log what was admitted without a fresh allowance, once a second."""
+        if now - self._logged_at < LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        admitted = self.admitted_by_basis - self._logged_by_basis
+        self._logged_by_basis = Counter(self.admitted_by_basis)
+        admitted.pop(AdmissionBasis.ALLOWANCE, None)
+        if admitted:
+            _log.info(
+                'admitted_without_meter',
+                meter=self._meter_host,
+                **{basis.name.lower(): n for basis, n in admitted.items()},
+            )
+        if self.reporting_hosts != self._logged_reporting_hosts:
+            self._logged_reporting_hosts = self.reporting_hosts
+            _log.info(
+                'meter_reporters',
+                reporting_hosts=self.reporting_hosts,
+                hosts=self._meter.hosts,
+            )
 
     def _choose(self) -> SiteEntry | None:
         now = time.monotonic()
--- a/packages/decisions/src/dragonflyknot/decisions/demand.py
+++ b/packages/decisions/src/dragonflyknot/decisions/demand.py
@@ -14,8 +14,10 @@
 has had time to report, it extrapolates from the hosts that have reported.
 """
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 from math import exp
 from typing import Final
 
@@ -30,6 +32,7 @@
 MIN_ADMITTED_RATIO: Final = 0.05
 NEGLIGIBLE_PER_S: Final = 0.05
 WARNING_LIFETIME_S: Final = 1.0
+FRESH_ALLOWANCE_S: Final = 1.0
 INITIAL_SHARE_MULTIPLE: Final = 3.0
 MIN_INITIAL_RATE_PER_S: Final = 1.0
 EXTRAPOLATION_OFFSET_PER_S: Final = 3.0
@@ -71,6 +74,28 @@
     allowed_per_s: float
 
 
+class AdmissionBasis(Enum):
+    """Name what a daemon admitted a request by."""
+
+    ALLOWANCE = 'allowance'
+    STALE_ALLOWANCE = 'stale-allowance'
+    NO_ALLOWANCE = 'no-allowance'
+
+
+@dataclass(frozen=True, slots=True)
+class BucketStarted:
+    """Tell that a meter started the bucket of a workspace.
+
+    `tokens` are in requests; `reporting_hosts` and `hosts` count the hosts
+    that have reported and all hosts that the meter knows.
+    """
+
+    workspace: str
+    tokens: float
+    reporting_hosts: int
+    hosts: int
+
+
 @dataclass(frozen=True, slots=True)
 class RateLimit:
     """Hold a rate in requests/s and a burst in requests."""
@@ -118,6 +143,7 @@
     def __init__(self) -> None:
         """Start without demand."""
         self._usage_by_workspace: dict[str, _WorkspaceUsage] = {}
+        self.admitted_by_basis: Counter[AdmissionBasis] = Counter()
         self.hosts = 1
 
     def admit(self, workspace: str, rate: float, now: float) -> bool:
@@ -130,8 +156,10 @@
             usage = _WorkspaceUsage()
             self._usage_by_workspace[workspace] = usage
         usage.asked.add(now)
-        if rate > 0 and not self._is_within(usage, rate, now):
-            return False
+        if rate > 0:
+            if not self._is_within(usage, rate, now):
+                return False
+            self.admitted_by_basis[_basis(usage, now)] += 1
         usage.admitted += 1
         return True
 
@@ -203,6 +231,14 @@
         }
 
 
+def _basis(usage: _WorkspaceUsage, now: float) -> AdmissionBasis:
+    if usage.allowance is None:
+        return AdmissionBasis.NO_ALLOWANCE
+    if now - usage.allowance_at > FRESH_ALLOWANCE_S:
+        return AdmissionBasis.STALE_ALLOWANCE
+    return AdmissionBasis.ALLOWANCE
+
+
 def _is_within(
     usage: _WorkspaceUsage, allowance: Allowance, now: float
 ) -> bool:
@@ -267,8 +303,20 @@
         self._fill_started_at = now
         self._reporting_hosts: set[str] = set()
         self._over_limit: set[str] = set()
+        self._started_buckets: list[BucketStarted] = []
         self.hosts = 1
 
+    @property
+    def reporting_hosts(self) -> int:
+        """Return the number of hosts that have reported."""
+        return len(self._reporting_hosts)
+
+    def take_started_buckets(self) -> list[BucketStarted]:
+        """Return the buckets started since the last call."""
+        started = self._started_buckets
+        self._started_buckets = []
+        return started
+
     def record_report(
         self,
         host: str,
@@ -341,6 +389,7 @@
     ) -> _WorkspaceBucket:
         bucket = self._buckets_by_workspace.get(workspace)
         max_tokens = limit.burst * USABLE_BURST_RATIO
+        is_new = bucket is None
         if bucket is None:
             if inherited:
                 # An earlier meter may have given the burst away already.
@@ -351,6 +400,15 @@
         bucket.updated_at = now
         bucket.inherited_per_s = max(bucket.inherited_per_s, inherited)
         bucket.tokens = min(max_tokens, bucket.tokens + limit.rate * elapsed_s)
+        if is_new:
+            self._started_buckets.append(
+                BucketStarted(
+                    workspace,
+                    bucket.tokens,
+                    len(self._reporting_hosts),
+                    self.hosts,
+                )
+            )
         if now - bucket.overdue_checked_at >= OVERDUE_CHECK_INTERVAL_S:
             _charge_overdue_hosts(bucket, now)
         return bucket
