--- a/packages/daemon/src/dragonflyknot/daemon/siterates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siterates.py
@@ -11,11 +11,10 @@
 from collections import Counter
 from functools import lru_cache
 from hashlib import sha256
-from typing import Final
+from typing import Final, Protocol
 
 import structlog
 
-from dragonflyknot.daemon.sitemembers import SiteMembers
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.demand import (
     AdmissionBasis,
@@ -30,7 +29,6 @@
 from dragonflyknot.decisions.siteview import SiteEntry
 from dragonflyknot.exchange.clientlink import LinkLost
 from dragonflyknot.peers import sitewire
-from dragonflyknot.peers.sitelinks import PeerLinks
 
 LEAST_PAUSE_S: Final = 0.04
 ASK_S: Final = 0.4
@@ -40,14 +38,28 @@
 _log = structlog.get_logger(__name__)
 
 
+class Members(Protocol):
+    """Know the hosts of the site."""
+
+    def entries(self) -> list[SiteEntry]:
+        """Return the hosts that have not left."""
+
+
+class ControlLinks(Protocol):
+    """Send control messages to other hosts."""
+
+    async def ask(self, address: str, path: str, content: bytes) -> bytes:
+        """Return the reply. Raise LinkLost without a valid one."""
+
+
 class SiteRates:
     """Share the rates of workspaces among the hosts of a site."""
 
     def __init__(
         self,
         host: str,
-        members: SiteMembers,
-        links: PeerLinks,
+        members: Members,
+        links: ControlLinks,
     ) -> None:
         """Start without demand."""
         self._host = host
@@ -192,7 +204,10 @@
             _log.info(
                 'admitted_without_meter',
                 meter=self._meter_host,
-                **{basis.name.lower(): n for basis, n in admitted.items()},
+                **{
+                    basis.name.lower(): count
+                    for basis, count in admitted.items()
+                },
             )
         if self.reporting_hosts != self._logged_reporting_hosts:
             self._logged_reporting_hosts = self.reporting_hosts
