Divide the rates among meters by the hosts that report to them

What callers saw: a workspace got up to twice its limit (QUOTA) when hosts were killed or cut off during its surge.

Cause: a meter granted the whole rate to whoever reported to it, however few. A cut fleet had one on either side. A host that had lost its meter kept its last allowance without an end, and one that did not know the others yet counted itself as the whole fleet. Class: a right was inferred from a local view and had no end.

Now the parts add up to the rate whoever reaches whom. A host out of touch has its equal share; its own admissions drain the reserve that it fills. A meter fills its buckets with the shares of the hosts that reported in the last 1.1 s. An allowance ends 1 s after the host asked for it. What a host admits out of touch beyond its share, or leaves unused, is settled at the next reply. A new meter first listens for 0.6 s. A process that has not learnt which hosts there are grants nothing. The fleet's demand as earlier meters told it and the extrapolation from first reporters are not needed any more.

--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -208,7 +208,7 @@
         if workspace is None:
             return True
         now = time.monotonic()
-        return self._ports.rates.admit(workspace.name, workspace.rate, now)
+        return self._ports.rates.admit(workspace.name, now)
 
     def _may_start(self, route: siteconfig.SiteRoute) -> bool:
         ports = self._ports
@@ -217,7 +217,7 @@
 
     def _return_token(self, workspace: str) -> None:
         if workspace:
-            self._ports.rates.give_back(workspace)
+            self._ports.rates.give_back(workspace, time.monotonic())
 
     def _refusal_if_current(
         self, refusal: Refusal, request_id: str
--- a/packages/callers/src/dragonflyknot/callers/siteedgeports.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedgeports.py
@@ -40,10 +40,10 @@
 class Rates(Protocol):
     """Limit the rates of workspaces."""
 
-    def admit(self, workspace: str, rate: float, now: float) -> bool:
-        """Count a request; return whether it is within `rate` requests/s."""
+    def admit(self, workspace: str, now: float) -> bool:
+        """Count a request; return whether it is within the rate."""
 
-    def give_back(self, workspace: str) -> None:
+    def give_back(self, workspace: str, now: float) -> None:
         """Undo the count of a request that did not run."""
 
 
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -255,7 +255,8 @@
     def _members_changed(self) -> None:
         hosts = max(1, len(self.members.view.entries_by_host))
         self.site_retries.set_host_count(hosts)
-        self.rates.share_among(hosts)
+        settled = len(self.members.entries())
+        self.rates.set_host_count(settled if self.members.is_settled else 0)
 
     async def _upstream_changed(self) -> None:
         self.gate.apply_announcement()
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -80,6 +80,7 @@
         self._versions_by_host: dict[str, int] = {}
         self._unreached_since_by_host: dict[str, float] = {}
         self._has_read = asyncio.Event()
+        self._has_compared = False
         self._unwritten = asyncio.Event()
         self._written: asyncio.Future[None] | None = None
         self._restored: Upstream | None = None
@@ -89,6 +90,14 @@
         """Call a listener when members change."""
         self._listeners.append(listener)
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether this process has learnt which hosts there are.
+
+        It has after it has read the table, or when a peer knows the same.
+        """
+        return self._has_read.is_set() or self._has_compared
+
     def peer_addresses(self) -> list[str]:
         """Return where the daemons of other hosts listen for peers."""
         return [one.place.address for one in self._peers()]
@@ -164,8 +173,9 @@
         for host in tuple(self._versions_by_host):
             if host not in keys:
                 self._removed(host)
-        self._changed(snapshot)
         self._has_read.set()
+        self._changed(snapshot)
+        self._told_listeners()
 
     def _changed(self, snapshot: Snapshot) -> None:
         entries: list[SiteEntry] = []
@@ -218,6 +228,12 @@
         self._has_news.set()
         self._told_listeners()
 
+    def _settle(self) -> None:
+        was_settled = self.is_settled
+        self._has_compared = True
+        if not was_settled:
+            self._told_listeners()
+
     def _told_listeners(self) -> None:
         for listener in self._listeners:
             listener()
@@ -240,7 +256,10 @@
         digest = self.view.digest()
         if not heard.digest:
             return reply
-        stamps = None if heard.digest == digest else self.view.stamps()
+        is_same = heard.digest == digest
+        if is_same:
+            self._settle()
+        stamps = None if is_same else self.view.stamps()
         return replace(reply, digest=digest, stamps=stamps)
 
     async def _gossip_on(self) -> None:
@@ -274,7 +293,9 @@
             self._unreached(place)
             return
         self._unreached_since_by_host.pop(place.host, None)
-        if heard.stamps is not None:
+        if heard.stamps is None:
+            self._settle()
+        else:
             await self._exchange(place, heard.stamps)
 
     async def _exchange(self, place: Place, stamps: Stamps) -> None:
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -17,7 +17,11 @@
 
 from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.demand import Allowance, WorkspaceDemand
+from dragonflyknot.decisions.demand import (
+    Allowance,
+    MeterReply,
+    WorkspaceDemand,
+)
 from dragonflyknot.decisions.siteview import SiteEntry, Stamps
 
 GOSSIP_PATH: Final = '/.dragonflyknot/gossip'
@@ -43,11 +47,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DemandReport:
-    """The demand at a host and the allowances it last received."""
+    """The demand at a host, by workspace."""
 
     host: str
     demand: Mapping[str, WorkspaceDemand]
-    known: Mapping[str, float]
 
 
 def encode_entry(entry: SiteEntry) -> bytes:
@@ -104,13 +107,9 @@
     fields = {
         'host': report.host,
         'demand': {
-            workspace: [round(asked.per_s, 2), asked.admitted]
+            workspace: [round(asked.per_s, 2), round(asked.admitted, 2)]
             for workspace, asked in report.demand.items()
         },
-        'known': {
-            workspace: round(per_s, 2)
-            for workspace, per_s in report.known.items()
-        },
     }
     return json.dumps(fields, separators=(',', ':')).encode()
 
@@ -120,43 +119,44 @@
     try:
         fields = json.loads(content)
         demand = {
-            str(workspace): WorkspaceDemand(float(per_s), int(admitted))
+            str(workspace): WorkspaceDemand(float(per_s), float(admitted))
             for workspace, (per_s, admitted) in fields['demand'].items()
         }
-        known = {
-            str(workspace): float(per_s)
-            for workspace, per_s in fields['known'].items()
-        }
-        return DemandReport(str(fields['host']), demand, known)
+        return DemandReport(str(fields['host']), demand)
     except _DECODE_ERRORS as error:
         _log.warning('report_malformed', error=type(error).__name__)
         return None
 
 
-def encode_allowances(allowances: Mapping[str, Allowance]) -> bytes:
-    """Encode the allowances of the fleet by workspace as JSON."""
+def encode_meter_reply(reply: MeterReply) -> bytes:
+    """Encode the reply of a meter as JSON."""
     fields = {
-        workspace: [
-            round(allowance.fleet_per_s, 2),
-            round(allowance.allowed_per_s, 2),
-        ]
-        for workspace, allowance in allowances.items()
+        'granting': reply.is_granting,
+        'allowances': {
+            workspace: [
+                round(allowance.fleet_per_s, 2),
+                round(allowance.allowed_per_s, 2),
+            ]
+            for workspace, allowance in reply.allowances.items()
+        },
     }
     return json.dumps(fields, separators=(',', ':')).encode()
 
 
-def decode_allowances(content: bytes) -> dict[str, Allowance]:
-    """Decode allowances by workspace; return none if malformed."""
+def decode_meter_reply(content: bytes) -> MeterReply:
+    """Decode the reply of a meter; nothing is granted if malformed."""
     try:
-        return {
+        fields = json.loads(content)
+        allowances = {
             str(workspace): Allowance(float(fleet_per_s), float(allowed_per_s))
-            for workspace, (fleet_per_s, allowed_per_s) in json.loads(
-                content
-            ).items()
+            for workspace, (fleet_per_s, allowed_per_s) in fields[
+                'allowances'
+            ].items()
         }
+        return MeterReply(fields['granting'] is True, allowances)
     except _DECODE_ERRORS as error:
-        _log.warning('allowances_malformed', error=type(error).__name__)
-        return {}
+        _log.warning('meter_reply_malformed', error=type(error).__name__)
+        return MeterReply()
 
 
 def _decode_stamps(fields: Mapping[str, Any]) -> Stamps | None:
--- a/tests/ratefleet.py
+++ b/tests/ratefleet.py
@@ -140,7 +140,6 @@
             members = HostMembers([entry_of(host)])
             rates = SiteRates(host, members, HostLinks(self.network, host))
             rates.configure(self._configuration)
-            rates.share_among(1)
             self.network.rates_by_host[host] = rates
             self._runs_by_host[host] = asyncio.create_task(rates.run())
             self._tasks.start(self._read_members(rates, members))
@@ -189,7 +188,7 @@
     def _ask(self, host: str) -> None:
         now = time.monotonic()
         self.asked += 1
-        if self.network.rates_by_host[host].admit(WORKSPACE, self.rate, now):
+        if self.network.rates_by_host[host].admit(WORKSPACE, now):
             self.admitted_at.append(now)
 
     async def _read_members(
@@ -197,4 +196,4 @@
     ) -> None:
         await asyncio.sleep(READ_MEMBERS_S)
         members.known = self._entries
-        rates.share_among(len(self._entries))
+        rates.set_host_count(len(self._entries))
--- a/tests/unit/test_demand.py
+++ b/tests/unit/test_demand.py
@@ -7,12 +7,12 @@
 import testtools
 
 from dragonflyknot.decisions.demand import (
-    DemandMeter,
     RateLimit,
     WorkspaceDemand,
-    WorkspaceRateLimiter,
     report_interval_s,
 )
+from dragonflyknot.decisions.demandmeter import DemandMeter
+from dragonflyknot.decisions.hostlimiter import HostLimiter
 
 HOSTS = 16
 REPORT_S = 0.2
@@ -44,9 +44,9 @@
             self.rng.random() * REPORT_S for _ in range(self.hosts)
         ]
 
-    def share(self) -> WorkspaceRateLimiter:
+    def share(self) -> HostLimiter:
         """Return the share of a host that has just started."""
-        share = WorkspaceRateLimiter()
+        share = HostLimiter(self.now)
         share.hosts = self.hosts
         return share
 
@@ -61,7 +61,7 @@
             host = self.rng.randrange(self.hosts)
             self.asked += 1
             share = self.shares[host]
-            if share.admit('w', self.limit.rate, self.now):
+            if share.admit('w', self.limit, self.now):
                 self.admitted.append(self.now)
             else:
                 self.refused += 1
@@ -88,11 +88,8 @@
         share = self.shares[host]
         reports = share.report(self.now)
         limits = {'w': self.limit}
-        known = share.known()
-        answer = self.meter.record_report(
-            str(host), reports, known, limits, self.now
-        )
-        share.apply_reply(reports, answer, self.now)
+        reply = self.meter.record_report(str(host), reports, limits, self.now)
+        share.apply_reply(reports, reply, self.now)
 
     def max_admitted_in_window(self) -> int:
         """Return the maximum number of admissions in any window."""
@@ -132,7 +129,7 @@
         limits = {f'w{number}': RateLimit(8, 8) for number in range(77)}
         meter = DemandMeter(0)
         meter.hosts = 69
-        shares = [WorkspaceRateLimiter() for _ in range(69)]
+        shares = [HostLimiter(0) for _ in range(69)]
         for share in shares:
             share.hosts = 69
         refused = asked = 0
@@ -143,17 +140,14 @@
             share = shares[host]
             asked += 1
             workspace = f'w{rng.randrange(77)}'
-            refused += not share.admit(workspace, 8, now)
+            refused += not share.admit(workspace, RateLimit(8, 8), now)
             if (
                 share.needs_immediate_report(workspace, now)
                 or rng.random() < 0.1
             ):
                 reports = share.report(now)
-                known = share.known()
-                answer = meter.record_report(
-                    str(host), reports, known, limits, now
-                )
-                share.apply_reply(reports, answer, now)
+                reply = meter.record_report(str(host), reports, limits, now)
+                share.apply_reply(reports, reply, now)
         self.assertLessEqual(refused, 0.01 * asked)
 
 
@@ -200,6 +194,7 @@
         fleet = Fleet(RateLimit(117, 117))
         fleet.run(400, 10)
         fleet.meter = DemandMeter(fleet.now)
+        fleet.meter.hosts = fleet.hosts
         fleet.run(400, 10)
         self.assertLessEqual(fleet.max_admitted_in_window(), fleet.bound())
 
@@ -251,7 +246,7 @@
         now = 10 + number / hosts / 2
         sys.setprofile(count)
         try:
-            meter.record_report(f'h{number % hosts}', demand, {}, limits, now)
+            meter.record_report(f'h{number % hosts}', demand, limits, now)
         finally:
             sys.setprofile(None)
     return calls / rounds / hosts
@@ -265,15 +260,15 @@
         limits = {'w': RateLimit(10, 10)}
         meter = DemandMeter(0)
         meter.hosts = 2
-        busy, idle = WorkspaceRateLimiter(), WorkspaceRateLimiter()
+        busy, idle = HostLimiter(0), HostLimiter(0)
         now = float(10)
         for _request in range(200):
             now += 0.01
-            busy.admit('w', 10, now)
+            busy.admit('w', limits['w'], now)
             reports = busy.report(now)
             busy.apply_reply(
-                reports, meter.record_report('1', reports, {}, limits, now), now
+                reports, meter.record_report('1', reports, limits, now), now
             )
-        idle.apply_reply({}, meter.record_report('2', {}, {}, limits, now), now)
-        self.assertFalse(idle.admit('w', 10, now + 0.1))
-        self.assertTrue(idle.admit('w', 10, now + 5))
+        idle.apply_reply({}, meter.record_report('2', {}, limits, now), now)
+        self.assertFalse(idle.admit('w', limits['w'], now + 0.1))
+        self.assertTrue(idle.admit('w', limits['w'], now + 5))
