Bound the head of a response that never ends

What callers saw: nothing but a 502, but the daemon read 15.4 MB of header lines of 60 kB for one request before its parser stopped at the 256th line; a few upstreams at a time could have ended a process that has 300 MB.

Cause: the parser limits the size and the number of lines, not their product. A link now fails after 256 KiB without a complete head. The other heads without end (noise, status line, name, value, short lines, blank lines, interim answers) were bounded already, by the parser or the route's timeout.

Test: test_heads_without_end, at most 1 MiB taken (with what the sockets hold); failed before at 15,421,799 bytes.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -86,6 +86,7 @@
         self._last_response: Response | None = None
         self._is_unusable = False
         self._is_head = False
+        self._incomplete_head_bytes = 0
         self.is_busy = False
         self.idle_since = time.monotonic()
         self.idle_before_use_s = float(0)
@@ -125,10 +126,10 @@
         try:
             messages, _is_upgraded, _tail = self._reader.feed_data(data)
         except HttpProcessingError as error:
-            self._mark_unusable()
-            self._end_body(error)
-            self._wake_waiter()
+            self._fail(error)
             return
+        if not messages and self._last_response is None:
+            self._limit_head(len(data))
         for message, payload in messages:
             self._responses.append(
                 Response(
@@ -157,6 +158,7 @@
             self._parser = self._reader
         self.is_busy = True
         self._last_response = None
+        self._incomplete_head_bytes = 0
         self.transport.write(content)
 
     async def send_body(
@@ -192,6 +194,22 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _limit_head(self, received_bytes: int) -> None:
+        """Fail if the head of the response takes too many bytes.
+
+        The parser limits the lines of a head, but not their total size.
+        """
+        if self._responses:
+            return
+        self._incomplete_head_bytes += received_bytes
+        if self._incomplete_head_bytes > links.MAX_RESPONSE_HEAD_BYTES:
+            self._fail(None)
+
+    def _fail(self, error: BaseException | None) -> None:
+        self._mark_unusable()
+        self._end_body(error)
+        self._wake_waiter()
+
     def _mark_unusable(self) -> None:
         self._is_unusable = True
         if self.transport is not None and not self.is_busy:
--- a/packages/exchange/src/dragonflyknot/exchange/links.py
+++ b/packages/exchange/src/dragonflyknot/exchange/links.py
@@ -27,6 +27,8 @@
 LAST_CHUNK: Final = b'0\r\n\r\n'
 READ_LIMIT_BYTES: Final = 65536
 MAX_HEADERS: Final = 256
+MAX_RESPONSE_HEAD_BYTES: Final = 256 * 1024
+"""Beyond this, bytes without a complete response head break the link."""
 MAX_BUFFERED_BODY_BYTES: Final = 512 * 1024
 """The largest body that a daemon buffers."""
 
