End an answer whose body never ends at the timeout of its request

What callers saw: a 200 whose body went on for as long as the upstream sent, past the route's timeout; the gate's slot was taken as long.

Cause: the timer of a request was stopped as soon as the head and the first 512 KiB had arrived; the rest was relayed without a limit in time. The relay now ends with the time of the request, and the connection is aborted, so that the answer cannot look whole. Smaller bodies are buffered within the timer as before.

Test: test_bodies_without_end (chunk size, extension, chunks, trailers, no length); before, the chunks and the body without a length had not ended after 6 s with a timeout of 2 s, and the test ran into its limit of 60 s.

--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import Final, TypeGuard
 
+import structlog
+
 from dragonflyknot.callers.requestrunner import (
     MIN_SERVER_ERROR_STATUS,
     ForwardedRequest,
@@ -29,6 +31,8 @@
 # Part of the remaining time of a request that Retry-After may take up.
 MAX_RETRY_AFTER_SHARE: Final = 1 / 3
 
+_log = structlog.get_logger(__name__)
+
 RequestResult = Answered | PlatformRefusal
 
 
@@ -278,7 +282,26 @@
             self._refuse(forwarded.request, result)
             return
         self._ports.counts.answered(result.status)
-        await relay(forwarded.request, result)
+        if isinstance(result.body, bytes):
+            await relay(forwarded.request, result)
+        else:
+            await self._relay_until_timeout(forwarded, result)
+
+    async def _relay_until_timeout(
+        self, forwarded: ForwardedRequest, answered: Answered
+    ) -> None:
+        """Relay a streamed answer; abort it at the timeout of the request."""
+        try:
+            async with asyncio.timeout(forwarded.deadline - time.monotonic()):
+                await relay(forwarded.request, answered)
+        except TimeoutError:
+            _log.info(
+                'answer_timed_out',
+                request=forwarded.request_id,
+                route=forwarded.route.name,
+                last_host=forwarded.last_host,
+            )
+            forwarded.request.link.abort()
 
 
 def _owner_of_call(origin: Origin) -> _Owner:
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -10,8 +10,10 @@
 from sitefleet import Reply, SiteFleet
 
 SIGNED = b'HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Signature: s\r\n'
+CHUNKED = SIGNED + b'Transfer-Encoding: chunked\r\n\r\n'
 PAUSE_S = 0.001
 MAX_HEAD_BYTES = 1024 * 1024
+LAST_CHUNK = b'0\r\n\r\n'
 
 HEADS = (
     ('noise', b'', b'\x00noise'),
@@ -21,6 +23,13 @@
     ('header lines', SIGNED, b'X-A: b\r\n' * 100),
     ('long header lines', SIGNED, b'X-A: ' + b'b' * 60000 + b'\r\n'),
 )
+BODIES = (
+    ('chunk size', CHUNKED, b'0' * 1000),
+    ('chunk extension', CHUNKED + b'5;', b'a' * 1000),
+    ('chunks', CHUNKED, b'3e8\r\n' + b'a' * 1000 + b'\r\n'),
+    ('trailers', CHUNKED + b'0\r\n', b'X-A: b\r\n' * 100),
+    ('no length', SIGNED + b'Connection: close\r\n\r\n', b'a' * 1000),
+)
 WAITING = (
     ('blank lines', b'', b'\r\n' * 500),
     ('interim answers', b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 50),
@@ -75,6 +84,19 @@
             self.assertEqual(502, reply.status, name)
             self.assertLessEqual(upstream.sent_bytes, MAX_HEAD_BYTES, name)
 
+    # Guards against bodies that look complete though they never ended.
+    def test_bodies_without_end(self) -> None:
+        """Never end the answer as if it were whole."""
+        for name, start, part in BODIES:
+            reply = run_async(ask(EndlessUpstream(start, part)))
+            if reply.status == 200:
+                self.assertEqual(
+                    'chunked', reply.headers.get('transfer-encoding'), name
+                )
+                self.assertFalse(reply.body.endswith(LAST_CHUNK), name)
+            else:
+                self.assertIn(reply.status, (502, 504), name)
+
     # Guards against interim answers that count as the final one.
     def test_nothing_but_what_precedes_an_answer(self) -> None:
         """Fail at the timeout where no final answer ever starts."""
