Allow the fewest retries until a host knows the others

What callers could see: a process that has just started, and knows only itself, allowed the slack of retries of the whole fleet; many processes that start together allow it each. In the test nine retries at once, now one.

Cause: the number of hosts was taken from whatever view there was. Both the rates and the retries now wait until the table was read or a peer knows the same hosts.

Test: test_retries_of_a_host_that_knows_no_other, 9 instead of 1 before.

--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -253,10 +253,12 @@
         self.rates.configure(configuration)
 
     def _members_changed(self) -> None:
+        if not self.members.is_settled:
+            # This host would take the parts of those that it does not know.
+            return
         hosts = max(1, len(self.members.view.entries_by_host))
         self.site_retries.set_host_count(hosts)
-        settled = len(self.members.entries())
-        self.rates.set_host_count(settled if self.members.is_settled else 0)
+        self.rates.set_host_count(len(self.members.entries()))
 
     async def _upstream_changed(self) -> None:
         self.gate.apply_announcement()
--- a/tests/platform/test_site_store.py
+++ b/tests/platform/test_site_store.py
@@ -6,6 +6,7 @@
 
 from adapter.storeclient import StoreClient
 from asyncrun import run_async
+from dragonflyknot.decisions.siteretries import RetryClass
 from dragonflyknot.stores.rowstore import Snapshot, StoreOut
 from sitefleet import SiteFleet, configuration
 
@@ -27,6 +28,26 @@
 
         run_async(body())
 
+    # Guards against a new process that takes the parts of all hosts.
+    def test_retries_of_a_host_that_knows_no_other(self) -> None:
+        """Allow the fewest retries until the other hosts are known."""
+
+        async def body() -> None:
+            async with SiteFleet(3) as fleet:
+                await fleet.stop_store()
+                await fleet.hosts[0].__aexit__(None, None, None)
+                host = await fleet.start(0)
+                self.assertFalse(host.members.is_settled)
+                taken = [
+                    host.site_retries.take(
+                        'mine', 0, RetryClass.LEAF_SERVICE, 0
+                    )
+                    for _retry in range(20)
+                ]
+                self.assertEqual(1, sum(taken))
+
+        run_async(body())
+
     def test_configuration_reaches_a_host_that_is_turned_away(self) -> None:
         """Hear of a withdrawn key from peers, without a request."""
 
