Split the messages to the meter from gossip, and share the order of hosts

peers/demandwire holds the reports and replies that stood in peers/sitewire; decisions/hostorder holds the hash order that meterchoice and followers each had.

--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -38,7 +38,7 @@
     serving,
 )
 from dragonflyknot.exchange.telemetry import RateLimitedLog
-from dragonflyknot.peers import sitewire
+from dragonflyknot.peers import demandwire, sitewire
 from dragonflyknot.peers.sitelinks import PeerLinks, SiteReceiver, SiteSender
 from dragonflyknot.upstreams.sitegate import SiteGate
 
@@ -235,7 +235,7 @@
         match path:
             case sitewire.GOSSIP_PATH:
                 return self.members.answer(content)
-            case sitewire.DEMAND_PATH:
+            case demandwire.DEMAND_PATH:
                 return self.rates.answer(content)
             case sitewire.CONFIGURATION_PATH:
                 return self.policy.content
--- a/packages/daemon/src/dragonflyknot/daemon/siterates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siterates.py
@@ -25,7 +25,7 @@
 from dragonflyknot.decisions.siteconfig import SiteConfiguration
 from dragonflyknot.decisions.siteview import SiteEntry
 from dragonflyknot.exchange.clientlink import LinkLost
-from dragonflyknot.peers import sitewire
+from dragonflyknot.peers import demandwire
 
 MIN_REPORT_INTERVAL_S: Final = 0.04
 REPLY_TIMEOUT_S: Final = 0.4
@@ -109,9 +109,9 @@
 
     def answer(self, content: bytes) -> bytes:
         """Answer a demand report of a peer."""
-        report = sitewire.decode_report(content)
+        report = demandwire.decode_report(content)
         reply = MeterReply() if report is None else self._measure(report)
-        return sitewire.encode_meter_reply(reply)
+        return demandwire.encode_meter_reply(reply)
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -140,7 +140,7 @@
         meter_host = self._host if meter is None else meter.host
         self._log_meter(meter_host)
         demand = self._limiter.report(asked_at)
-        report = sitewire.DemandReport(self._host, demand)
+        report = demandwire.DemandReport(self._host, demand)
         if meter is None or meter_host == self._host:
             self._apply(demand, self._measure(report), asked_at)
             return
@@ -150,21 +150,21 @@
             self._apply(demand, reply, asked_at)
 
     async def _ask(
-        self, meter: Place, report: sitewire.DemandReport
+        self, meter: Place, report: demandwire.DemandReport
     ) -> MeterReply | None:
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 content = await self._links.ask(
                     meter.address,
-                    sitewire.DEMAND_PATH,
-                    sitewire.encode_report(report),
+                    demandwire.DEMAND_PATH,
+                    demandwire.encode_report(report),
                 )
         except (LinkLost, TimeoutError):
             _log.info('meter_lost', meter=meter.host)
             self._choice.avoid(meter.host, time.monotonic())
             self._urgent.set()
             return None
-        return sitewire.decode_meter_reply(content)
+        return demandwire.decode_meter_reply(content)
 
     def _apply(
         self,
@@ -174,7 +174,7 @@
     ) -> None:
         self._limiter.apply_reply(demand, reply, asked_at)
 
-    def _measure(self, report: sitewire.DemandReport) -> MeterReply:
+    def _measure(self, report: demandwire.DemandReport) -> MeterReply:
         reply = self._meter.record_report(
             report.host,
             report.demand,
--- a/packages/decisions/src/dragonflyknot/decisions/followers.py
+++ b/packages/decisions/src/dragonflyknot/decisions/followers.py
@@ -7,9 +7,9 @@
 """
 
 from collections.abc import Iterable
-from hashlib import sha256
 from typing import Final
 
+from dragonflyknot.decisions.hostorder import position_of
 from dragonflyknot.decisions.siteview import SiteEntry
 
 FOLLOWERS_PER_REGION: Final = 3
@@ -33,10 +33,6 @@
         and entry.place.host not in unreachable_hosts
         and not entry.is_gone
     )
-    own_position = _position(host)
-    preceding = sum(_position(other) < own_position for other in others)
+    own_position = position_of(host)
+    preceding = sum(position_of(other) < own_position for other in others)
     return preceding < FOLLOWERS_PER_REGION
-
-
-def _position(host: str) -> bytes:
-    return sha256(host.encode()).digest()
--- a/packages/decisions/src/dragonflyknot/decisions/meterchoice.py
+++ b/packages/decisions/src/dragonflyknot/decisions/meterchoice.py
@@ -6,15 +6,13 @@
 """
 
 from collections.abc import Iterable
-from functools import lru_cache
-from hashlib import sha256
 from typing import Final
 
 from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.hostorder import position_of
 
 AVOIDED_S: Final = 3.0
-MAX_RANKS: Final = 32_768
 
 
 class MeterChoice:
@@ -36,9 +34,6 @@
             if place.state is UpstreamState.READY
             and self._avoided_until_by_host.get(place.host, 0) <= now
         ]
-        return min(usable, key=lambda place: _rank(place.host), default=None)
-
-
-@lru_cache(MAX_RANKS)
-def _rank(host: str) -> bytes:
-    return sha256(host.encode()).digest()
+        return min(
+            usable, key=lambda place: position_of(place.host), default=None
+        )
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -17,15 +17,9 @@
 
 from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.demand import (
-    Allowance,
-    MeterReply,
-    WorkspaceDemand,
-)
 from dragonflyknot.decisions.siteview import SiteEntry, Stamps
 
 GOSSIP_PATH: Final = '/.dragonflyknot/gossip'
-DEMAND_PATH: Final = '/.dragonflyknot/demand'
 CONFIGURATION_PATH: Final = '/.dragonflyknot/configuration'
 _DECODE_ERRORS: Final = (ValueError, KeyError, TypeError, AttributeError)
 _log = structlog.get_logger(__name__)
@@ -45,14 +39,6 @@
     stamps: Stamps | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class DemandReport:
-    """The demand at a host, by workspace."""
-
-    host: str
-    demand: Mapping[str, WorkspaceDemand]
-
-
 def encode_entry(entry: SiteEntry) -> bytes:
     """Encode an entry as JSON."""
     return json.dumps(
@@ -102,63 +88,6 @@
         return None
 
 
-def encode_report(report: DemandReport) -> bytes:
-    """Encode a demand report as JSON."""
-    fields = {
-        'host': report.host,
-        'demand': {
-            workspace: [round(asked.per_s, 2), round(asked.admitted, 2)]
-            for workspace, asked in report.demand.items()
-        },
-    }
-    return json.dumps(fields, separators=(',', ':')).encode()
-
-
-def decode_report(content: bytes) -> DemandReport | None:
-    """Decode a demand report; return None if malformed."""
-    try:
-        fields = json.loads(content)
-        demand = {
-            str(workspace): WorkspaceDemand(float(per_s), float(admitted))
-            for workspace, (per_s, admitted) in fields['demand'].items()
-        }
-        return DemandReport(str(fields['host']), demand)
-    except _DECODE_ERRORS as error:
-        _log.warning('report_malformed', error=type(error).__name__)
-        return None
-
-
-def encode_meter_reply(reply: MeterReply) -> bytes:
-    """Encode the reply of a meter as JSON."""
-    fields = {
-        'granting': reply.is_granting,
-        'allowances': {
-            workspace: [
-                round(allowance.fleet_per_s, 2),
-                round(allowance.allowed_per_s, 2),
-            ]
-            for workspace, allowance in reply.allowances.items()
-        },
-    }
-    return json.dumps(fields, separators=(',', ':')).encode()
-
-
-def decode_meter_reply(content: bytes) -> MeterReply:
-    """Decode the reply of a meter; nothing is granted if malformed."""
-    try:
-        fields = json.loads(content)
-        allowances = {
-            str(workspace): Allowance(float(fleet_per_s), float(allowed_per_s))
-            for workspace, (fleet_per_s, allowed_per_s) in fields[
-                'allowances'
-            ].items()
-        }
-        return MeterReply(fields['granting'] is True, allowances)
-    except _DECODE_ERRORS as error:
-        _log.warning('meter_reply_malformed', error=type(error).__name__)
-        return MeterReply()
-
-
 def _decode_stamps(fields: Mapping[str, Any]) -> Stamps | None:
     if 'stamps' not in fields:
         return None
