--- a/packages/daemon/src/dragonflyknot/daemon/siterates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siterates.py
@@ -16,7 +16,6 @@
 from dragonflyknot.decisions.demand import (
     MeterReply,
     RateLimit,
-    WorkspaceDemand,
     report_interval_s,
 )
 from dragonflyknot.decisions.demandmeter import DemandMeter
@@ -142,12 +141,12 @@
         demand = self._limiter.report(asked_at)
         report = demandwire.DemandReport(self._host, demand)
         if meter is None or meter_host == self._host:
-            self._apply(demand, self._measure(report), asked_at)
+            self._limiter.apply_reply(demand, self._measure(report), asked_at)
             return
         reply = await self._ask(meter, report)
         if reply is not None:
             self._meter.defer(time.monotonic())
-            self._apply(demand, reply, asked_at)
+            self._limiter.apply_reply(demand, reply, asked_at)
 
     async def _ask(
         self, meter: Place, report: demandwire.DemandReport
@@ -166,14 +165,6 @@
             return None
         return demandwire.decode_meter_reply(content)
 
-    def _apply(
-        self,
-        demand: dict[str, WorkspaceDemand],
-        reply: MeterReply,
-        asked_at: float,
-    ) -> None:
-        self._limiter.apply_reply(demand, reply, asked_at)
-
     def _measure(self, report: demandwire.DemandReport) -> MeterReply:
         reply = self._meter.record_report(
             report.host,
--- a/packages/decisions/src/dragonflyknot/decisions/demandmeter.py
+++ b/packages/decisions/src/dragonflyknot/decisions/demandmeter.py
@@ -29,7 +29,7 @@
 USABLE_BURST_RATIO: Final = 0.8
 BURST_RELEASE_S: Final = 1.0
 MIN_ADMITTED_RATIO: Final = 0.05
-MIN_MAX_TOKENS: Final = 1.0
+MIN_BUCKET_SIZE: Final = 1.0
 MIN_REPORT_GAP_S: Final = 0.1
 OVERDUE_CHECK_INTERVAL_S: Final = 0.25
 
@@ -195,7 +195,7 @@
         if bucket is None:
             waited_s = max(0, now - self._fill_started_at)
             tokens = min(
-                self._max_tokens(limit), limit.rate * self._share() * waited_s
+                self._bucket_size(limit), limit.rate * self._share() * waited_s
             )
             bucket = _WorkspaceBucket(tokens, now)
             self._buckets_by_workspace[workspace] = bucket
@@ -217,14 +217,14 @@
         share = self._share() if self._is_granting(now) else 0
         elapsed_s = max(0, now - bucket.updated_at)
         bucket.tokens = min(
-            self._max_tokens(limit),
+            self._bucket_size(limit),
             bucket.tokens + limit.rate * share * elapsed_s,
         )
         bucket.updated_at = now
 
-    def _max_tokens(self, limit: RateLimit) -> float:
+    def _bucket_size(self, limit: RateLimit) -> float:
         usable = limit.burst * USABLE_BURST_RATIO * self._share()
-        return max(MIN_MAX_TOKENS, usable)
+        return max(MIN_BUCKET_SIZE, usable)
 
     def _allowance(
         self, bucket: _WorkspaceBucket, limit: RateLimit
--- a/packages/decisions/src/dragonflyknot/decisions/hostlimiter.py
+++ b/packages/decisions/src/dragonflyknot/decisions/hostlimiter.py
@@ -30,7 +30,7 @@
 NEGLIGIBLE_PER_S: Final = 0.05
 INITIAL_SHARE_MULTIPLE: Final = 3.0
 MIN_INITIAL_RATE_PER_S: Final = 1.0
-OLD_DEMAND_PER_S: Final = 0.5
+RESIDUAL_PER_S: Final = 0.5
 # What all reserves hold beside the burst, so that small shares come to whole
 # requests. Within the 20 requests that the users tolerate.
 SPARE_REQUESTS: Final = 20.0
@@ -103,12 +103,12 @@
         self.admitted += 1
         return True
 
-    def settle(self, alone_s: float) -> float:
-        """Return what was admitted beyond the share of `alone_s` seconds.
+    def settle(self, out_of_touch_s: float) -> float:
+        """Return what was admitted beyond the share of that time.
 
         It is negative if the host has left a part of its share unused.
         """
-        excess = self.admitted - self.share_per_s * alone_s
+        excess = self.admitted - self.share_per_s * out_of_touch_s
         self.admitted = 0
         return excess
 
@@ -211,10 +211,10 @@
     def _apply_allowances(
         self, allowances: Mapping[str, Allowance], asked_at: float
     ) -> None:
-        alone_s = max(0, asked_at - self._in_touch_until)
+        out_of_touch_s = max(0, asked_at - self._in_touch_until)
         self._in_touch_until = asked_at + ALLOWANCE_LIFETIME_S
         for usage in self._usage_by_workspace.values():
-            usage.admitted += usage.reserve.settle(alone_s)
+            usage.admitted += usage.reserve.settle(out_of_touch_s)
         for workspace, allowance in allowances.items():
             usage = self._usage_by_workspace.setdefault(
                 workspace, _WorkspaceUsage(_Reserve(MIN_RESERVE, asked_at))
@@ -254,12 +254,12 @@
                 return _is_allowed(usage, now)
             case AdmissionBasis.FIRST_REQUESTS:
                 share_per_s = limit.rate / max(1, self.hosts)
-                most_per_s = max(
+                max_per_s = max(
                     MIN_INITIAL_RATE_PER_S, INITIAL_SHARE_MULTIPLE * share_per_s
                 )
                 # The request itself counts one; what is left of older ones
                 # must not make it one too many.
-                return usage.asked.value(now) < most_per_s + OLD_DEMAND_PER_S
+                return usage.asked.value(now) < max_per_s + RESIDUAL_PER_S
             case AdmissionBasis.RESERVE:
                 return usage.reserve.admit()
 
