--- a/tests/unit/test_rates_of_lost_hosts.py
+++ b/tests/unit/test_rates_of_lost_hosts.py
@@ -101,6 +101,11 @@
         """Keep the bound while all hosts run."""
         self.check_bound(14, lose_nothing, hosts=16)
 
+    # Guards against hosts that each admit a little before they hear of a surge.
+    def test_surge_alone_in_a_large_fleet(self) -> None:
+        """Keep the bound while all hosts of a large fleet run."""
+        self.check_bound(14, lose_nothing, hosts=69)
+
     # Guards against new meters that grant the rate and the burst again.
     def test_killed_hosts_add_nothing_to_the_limit(self) -> None:
         """Keep the bound while killed hosts start again."""
