Hold one flag for what a host has learnt, and tell listeners once

Cause: found in the read-through. is_settled was derived from two states, and each read of the table told the listeners twice, once by the news and once more in any case. They are told by news, and once when the host settles. The host counts are the same. Checked by test_site_store, test_membership_calls and test_site; no measured run.

--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -80,7 +80,7 @@
         self._versions_by_host: dict[str, int] = {}
         self._unreached_since_by_host: dict[str, float] = {}
         self._has_read = asyncio.Event()
-        self._has_compared = False
+        self._is_settled = False
         self._unwritten = asyncio.Event()
         self._written: asyncio.Future[None] | None = None
         self._restored: Upstream | None = None
@@ -96,7 +96,7 @@
 
         It has after it has read the table, or when a peer knows the same.
         """
-        return self._has_read.is_set() or self._has_compared
+        return self._is_settled
 
     def peer_addresses(self) -> list[str]:
         """Return where the daemons of other hosts listen for peers."""
@@ -173,9 +173,9 @@
         for host in tuple(self._versions_by_host):
             if host not in keys:
                 self._removed(host)
-        self._has_read.set()
         self._changed(snapshot)
-        self._told_listeners()
+        self._settle()
+        self._has_read.set()
 
     def _changed(self, snapshot: Snapshot) -> None:
         entries: list[SiteEntry] = []
@@ -229,9 +229,8 @@
         self._told_listeners()
 
     def _settle(self) -> None:
-        was_settled = self.is_settled
-        self._has_compared = True
-        if not was_settled:
+        if not self._is_settled:
+            self._is_settled = True
             self._told_listeners()
 
     def _told_listeners(self) -> None:
