Keep the condition of the head limit in one place

Whether a head has already arrived was asked half by the caller and half by _limit_head. No behaviour changes; checked by test_endless_answers and test_link_pool.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -128,7 +128,7 @@
         except HttpProcessingError as error:
             self._fail(error)
             return
-        if not messages and self._last_response is None:
+        if not messages:
             self._limit_head(len(data))
         for message, payload in messages:
             self._responses.append(
@@ -199,7 +199,7 @@
 
         The parser limits the lines of a head, but not their total size.
         """
-        if self._responses:
+        if self._responses or self._last_response is not None:
             return
         self._incomplete_head_bytes += received_bytes
         if self._incomplete_head_bytes > links.MAX_RESPONSE_HEAD_BYTES:
