Count windows in one place, and check the close that a test promises

The sliding window and the users' bound were computed in test_demand and again in ratefleet; ratewindow serves both. It counts both ends of a window, as test_demand did, where ratefleet left the later end out, so ratefleet's check is a little stricter; its tests pass and fail as before.

test_answers_without_end said that the daemon closes the connection and that it guards against answers piling up, and checked neither. It now waits until the upstream has seen three closes, and names what it guards against.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -104,7 +104,7 @@
             reply = run_async(ask(EndlessUpstream(start, part)))
             self.assertIn(reply.status, (502, 504), name)
 
-    # Guards against further answers that pile up behind the first.
+    # Guards against a link that is used again with answers behind the first.
     def test_answers_without_end(self) -> None:
         """Return the first answer and close the connection."""
 
@@ -119,5 +119,6 @@
                 for _request in range(3):
                     reply = await fleet.ask()
                     self.assertEqual((200, b'ok'), (reply.status, reply.body))
+                await fleet.until(lambda: fleet.upstreams[0].dropped == 3)
 
         run_async(body())
--- a/tests/ratefleet.py
+++ b/tests/ratefleet.py
@@ -7,7 +7,6 @@
 import asyncio
 import random
 import time
-from bisect import bisect_left
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -15,16 +14,15 @@
 from dragonflyknot.daemon.tasks import Tasks
 from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.demand import RateLimit
 from dragonflyknot.decisions.siteconfig import (
     SiteConfiguration,
     SiteWorkspace,
 )
 from dragonflyknot.decisions.siteview import SiteEntry
 from dragonflyknot.exchange.clientlink import LinkLost
+from ratewindow import max_in_window, window_bound
 
-WINDOW_S = 5.0
-RELATIVE_TOLERANCE = 0.1
-TOLERANCE = 20
 READ_MEMBERS_S = 0.05
 CROSS_REGION_S = 0.009
 SAME_REGION_S = 0.001
@@ -175,15 +173,11 @@
 
     def max_admitted_in_window(self) -> int:
         """Return the largest number of requests admitted in any window."""
-        return max(
-            bisect_left(self.admitted_at, began + WINDOW_S) - first
-            for first, began in enumerate(self.admitted_at)
-        )
+        return max_in_window(self.admitted_at)
 
     def bound(self) -> float:
         """Return the number of requests that the users allow in a window."""
-        limit = self.rate * WINDOW_S + self.rate
-        return limit * (1 + RELATIVE_TOLERANCE) + TOLERANCE
+        return window_bound(RateLimit(self.rate, self.rate))
 
     def _ask(self, host: str) -> None:
         now = time.monotonic()
--- a/tests/unit/test_demand.py
+++ b/tests/unit/test_demand.py
@@ -13,10 +13,10 @@
 )
 from dragonflyknot.decisions.demandmeter import DemandMeter
 from dragonflyknot.decisions.hostlimiter import HostLimiter
+from ratewindow import max_in_window, window_bound
 
 HOSTS = 16
 REPORT_S = 0.2
-WINDOW_S = 5.0
 
 
 @dataclass
@@ -93,20 +93,11 @@
 
     def max_admitted_in_window(self) -> int:
         """Return the maximum number of admissions in any window."""
-        max_admitted = first = 0
-        for last, at in enumerate(self.admitted):
-            while self.admitted[first] < at - WINDOW_S:
-                first += 1
-            max_admitted = max(max_admitted, last - first + 1)
-        return max_admitted
+        return max_in_window(self.admitted)
 
     def bound(self) -> float:
-        """Return the number of requests allowed in a window.
-
-        The users tolerate 10% and 20 requests above rate and burst.
-        """
-        window_limit = self.limit.rate * WINDOW_S + self.limit.burst
-        return window_limit * 1.1 + 20
+        """Return the number of requests allowed in a window."""
+        return window_bound(self.limit)
 
 
 class WithinRateTest(testtools.TestCase):
