--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -12,11 +12,9 @@
 
 import structlog
 
-from dragonflyknot.callers.requestrunner import (
-    MIN_SERVER_ERROR_STATUS,
-    ForwardedRequest,
-    RequestRunner,
-)
+from dragonflyknot.callers.forwardedrequest import ForwardedRequest
+from dragonflyknot.callers.requestrunner import RequestRunner
+from dragonflyknot.callers.resendrules import MIN_SERVER_ERROR_STATUS
 from dragonflyknot.callers.siteedgeports import SiteEdgePorts
 from dragonflyknot.decisions import siteconfig
 from dragonflyknot.decisions.origins import Origin
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -23,14 +23,14 @@
 
 
 def _repeat_everything() -> None:
-    module: Any = import_module('dragonflyknot.callers.requestrunner')
-    guarded = module.RequestRunner._may_run_again
+    module: Any = import_module('dragonflyknot.callers.resendrules')
+    guarded = module.ResendRules.may_run_again
 
     def reckless(self: Any, forwarded: Any) -> bool:
         forwarded.route = replace(forwarded.route, idempotent=True)
         return bool(guarded(self, forwarded))
 
-    module.RequestRunner._may_run_again = reckless
+    module.ResendRules.may_run_again = reckless
 
 
 def _serve_while_draining() -> None:
--- a/tests/unit/test_shedding_service.py
+++ b/tests/unit/test_shedding_service.py
@@ -15,7 +15,8 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 
 from asyncrun import run_async
-from dragonflyknot.callers.requestrunner import ForwardedRequest, RequestRunner
+from dragonflyknot.callers.forwardedrequest import ForwardedRequest
+from dragonflyknot.callers.requestrunner import RequestRunner
 from dragonflyknot.callers.siteedgeports import SiteEdgeCounts, SiteEdgePorts
 from dragonflyknot.decisions.balancer import Balancer, Candidate, Load, Place
 from dragonflyknot.decisions.calls import UpstreamState
