Log each attempt of a failed request, and attempts that are late

The refused line now lists host, outcome, start and end of each attempt; attempt_late names the gate, the wait and the action, with a counter in the figures. Both keep to the rate limit of lines about requests.

--- a/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
+++ b/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
@@ -6,12 +6,23 @@
 
 from dragonflyknot.decisions import siteconfig
 from dragonflyknot.decisions.balancer import HostQuery
+from dragonflyknot.exchange.hopheaders import MS_PER_SECOND
 from dragonflyknot.exchange.outcomes import OutgoingRequest
 from dragonflyknot.exchange.serverlink import Request
 
 MIN_RETRY_LEFT_S: Final = 0.02
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptRecord:
+    """Hold how one attempt ended; times are in monotonic seconds."""
+
+    host: str
+    outcome: str
+    began: float
+    ended: float
+
+
 @dataclass(slots=True)
 class ForwardedRequest:
     """Track the progress of one request through its attempts.
@@ -21,7 +32,7 @@
     `tried_hosts` holds the hosts to leave out and `reached_hosts` those whose
     upstreams received the request. If `only_hosts` is not empty, only its
     hosts may be used. `sends` counts the attempts sent to gates, and `runs`
-    those that ran or may have run.
+    those that ran or may have run. `attempts` lists those that have ended.
     """
 
     request: Request
@@ -41,12 +52,26 @@
     sends: int = 0
     runs: int = 0
     last_host: str = ''
+    attempts: list[AttemptRecord] = field(default_factory=list)
 
     @property
     def has_time(self) -> bool:
         """Return whether enough time is left for another attempt."""
         return self.deadline - time.monotonic() > MIN_RETRY_LEFT_S
 
+    def describe_attempts(self) -> tuple[str, ...]:
+        """Describe the ended attempts: host, outcome, start and end.
+
+        The times are in milliseconds since the request arrived.
+        """
+        arrived_at = self.request.arrived_at
+        return tuple(
+            f'{one.host} {one.outcome}'
+            f' {_ms_between(arrived_at, one.began)}'
+            f'-{_ms_between(arrived_at, one.ended)}'
+            for one in self.attempts
+        )
+
     @property
     def host_query(self) -> HostQuery:
         """Return the requirements for the host of the next attempt."""
@@ -58,3 +83,7 @@
     def can_resend(self) -> bool:
         """Return whether the body is in memory and can be sent again."""
         return isinstance(self.outgoing.body, bytes)
+
+
+def _ms_between(start: float, end: float) -> int:
+    return round((end - start) * MS_PER_SECOND)
--- a/packages/callers/src/dragonflyknot/callers/requestrunner.py
+++ b/packages/callers/src/dragonflyknot/callers/requestrunner.py
@@ -12,12 +12,19 @@
 from typing import Final
 
 from dragonflyknot.callers.attempttimer import AttemptTimer
-from dragonflyknot.callers.forwardedrequest import ForwardedRequest
+from dragonflyknot.callers.forwardedrequest import (
+    AttemptRecord,
+    ForwardedRequest,
+)
 from dragonflyknot.callers.resendrules import (
     MIN_SERVER_ERROR_STATUS,
     ResendRules,
 )
-from dragonflyknot.callers.siteedgeports import SiteEdgePorts
+from dragonflyknot.callers.siteedgeports import (
+    LateAction,
+    LateAttempt,
+    SiteEdgePorts,
+)
 from dragonflyknot.decisions import balancer
 from dragonflyknot.decisions.balancer import Candidate
 from dragonflyknot.decisions.refusals import Refusal
@@ -94,6 +101,7 @@
                 outcome = await ports.sender.send(
                     candidate, hop, forwarded.outgoing
                 )
+                timed.outcome = outcome
                 ending = _balancer_ending(outcome)
                 if _has_reached_upstream(outcome):
                     forwarded.reached_hosts.add(forwarded.last_host)
@@ -110,6 +118,25 @@
         timed.is_counted_late = True
         timed.candidate.record_late(now)
         forwarded.reached_hosts.add(timed.candidate.place.host)
+        is_cancelled = self._may_replace(timed, waited_s, now)
+        if is_cancelled:
+            forwarded.runs += 1
+        self._ports.counts.late(
+            LateAttempt(
+                forwarded.request_id,
+                forwarded.route.name,
+                timed.candidate.place.host,
+                waited_s,
+                LateAction.CANCELLED if is_cancelled else LateAction.KEPT,
+            )
+        )
+        return is_cancelled
+
+    def _may_replace(
+        self, timed: '_TimedAttempt', waited_s: float, now: float
+    ) -> bool:
+        """Return whether another attempt may replace a late one."""
+        forwarded = timed.forwarded
         # Without time for another attempt of the usual length, keep waiting.
         if forwarded.deadline - now < waited_s / balancer.LATE_AFTER_RATIO:
             return False
@@ -118,10 +145,7 @@
             forwarded.service, tried_hosts, now
         ):
             return False
-        if not self._rules.may_run_again(forwarded):
-            return False
-        forwarded.runs += 1
-        return True
+        return self._rules.may_run_again(forwarded)
 
     def _retry_pause_s(self) -> float:
         return MAX_RETRY_PAUSE_S * (1 + self._ports.rng.random()) / 2
@@ -141,11 +165,15 @@
 
 @dataclass(slots=True)
 class _TimedAttempt:
-    """Track an attempt and whether it was counted as late."""
+    """Track an attempt and whether it was counted as late.
+
+    `outcome` is None until the attempt has ended by itself.
+    """
 
     forwarded: ForwardedRequest
     candidate: Candidate
     began: float
+    outcome: Outcome | None = None
     is_counted_late: bool = False
 
 
@@ -158,10 +186,25 @@
             ending = balancer.Ending.LATE
     now = time.monotonic()
     candidate.record_end(ending, forwarded.route.name, timed.began, now)
+    forwarded.attempts.append(
+        AttemptRecord(
+            candidate.place.host, _name_outcome(timed.outcome), timed.began, now
+        )
+    )
     if ending is not balancer.Ending.DONE:
         forwarded.tried_hosts.add(candidate.place.host)
 
 
+def _name_outcome(outcome: Outcome | None) -> str:
+    match outcome:
+        case None:
+            return 'cancelled'
+        case Answered(status):
+            return str(status)
+        case NotRun(refusal) | MayHaveRun(refusal):
+            return refusal.value
+
+
 def _has_reached_upstream(outcome: Outcome) -> bool:
     match outcome:
         case NotRun(reached_upstream=False):
--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -253,6 +253,7 @@
             forwarded.route.name,
             forwarded.sends,
             forwarded.last_host,
+            forwarded.describe_attempts(),
         )
 
     def _timeout_refusal(self, forwarded: ForwardedRequest) -> PlatformRefusal:
--- a/packages/callers/src/dragonflyknot/callers/siteedgeports.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedgeports.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from enum import Enum, unique
 from typing import Protocol
 
 from dragonflyknot.decisions.balancer import Balancer, Candidate
@@ -11,7 +12,7 @@
 from dragonflyknot.decisions.siteretries import SiteRetryBudget
 from dragonflyknot.decisions.throttle import Throttle
 from dragonflyknot.exchange.dialect import Dialect
-from dragonflyknot.exchange.hopheaders import Hop
+from dragonflyknot.exchange.hopheaders import MS_PER_SECOND, Hop
 from dragonflyknot.exchange.outcomes import Outcome, OutgoingRequest
 from dragonflyknot.exchange.platformrefusals import PlatformRefusal
 from dragonflyknot.exchange.telemetry import Histogram, RateLimitedLog
@@ -63,6 +64,25 @@
         """Send an attempt to the gate of a host."""
 
 
+@unique
+class LateAction(Enum):
+    """Tell what was done about a late attempt."""
+
+    CANCELLED = 'cancelled'
+    KEPT = 'kept'
+
+
+@dataclass(frozen=True, slots=True)
+class LateAttempt:
+    """Describe an attempt that is late at the gate of `host`."""
+
+    request_id: str
+    route: str
+    host: str
+    waited_s: float
+    action: LateAction
+
+
 @dataclass(slots=True)
 class SiteEdgeCounts:
     """Count how requests ended and log refusals."""
@@ -71,6 +91,7 @@
     answered_by_status: Counter[int] = field(default_factory=Counter)
     refused_by_kind: Counter[str] = field(default_factory=Counter)
     latency: Histogram = field(default_factory=Histogram)
+    late_by_action: Counter[str] = field(default_factory=Counter)
     cancelled: int = 0
 
     def answered(self, status: int) -> None:
@@ -88,6 +109,19 @@
             workspace=refused.workspace,
             sends=refused.sends,
             last_host=refused.last_host,
+            attempts=refused.attempts,
+        )
+
+    def late(self, late: LateAttempt) -> None:
+        """Count and log a late attempt."""
+        self.late_by_action[late.action.value] += 1
+        self.log.write(
+            'attempt_late',
+            request=late.request_id,
+            route=late.route,
+            gate=late.host,
+            waited_ms=round(late.waited_s * MS_PER_SECOND),
+            action=late.action.value,
         )
 
     def record_latency(self, seconds: float) -> None:
--- a/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
@@ -84,6 +84,8 @@
         yield (
             f'dragonflyknot_meter_reporting_hosts {host.rates.reporting_hosts}'
         )
+        for action, count in sorted(counts.late_by_action.items()):
+            yield f'dragonflyknot_late_attempts{{action="{action}"}} {count}'
         yield f'dragonflyknot_cancelled {counts.cancelled}'
         yield f'dragonflyknot_log_lines_dropped {counts.log.dropped}'
         yield f'dragonflyknot_in_flight {host.in_flight}'
--- a/packages/exchange/src/dragonflyknot/exchange/platformrefusals.py
+++ b/packages/exchange/src/dragonflyknot/exchange/platformrefusals.py
@@ -16,7 +16,8 @@
     """Describe why a request got no response from an upstream.
 
     `retry_after_s` is in seconds, 0 if no delay is suggested. `sends` counts
-    the attempts, and `last_host` is the host of the last one.
+    the attempts, and `last_host` is the host of the last one. `attempts`
+    describes those that have ended.
     """
 
     refusal: Refusal
@@ -26,6 +27,7 @@
     route: str = ''
     sends: int = 0
     last_host: str = ''
+    attempts: tuple[str, ...] = ()
 
 
 def refuse(
