Add failing tests: a late run is cut before another gate has answered

Each fails on this code: 502 where all other gates refuse, 502 where the second attempt breaks off, 504 where the second hangs, while the first upstream answers after a second.

--- a/tests/platform/test_late_attempts.py
+++ b/tests/platform/test_late_attempts.py
@@ -1,13 +1,14 @@
 """Test late attempts: they are cancelled if they may run again."""
 
 import asyncio
+from functools import partial
 from typing import Any
 
 import testtools
 
 from asyncrun import run_async
 from dragonflyknot.callers.attempttimer import AttemptTimer
-from fakeupstream import Seen, whole
+from fakeupstream import Script, Seen, answer, whole
 from sitefleet import SiteFleet, configuration
 
 
@@ -59,6 +60,76 @@
         run_async(body())
 
 
+async def _break_off(_seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+class WorkUnderWayTest(testtools.TestCase):
+    """A run is not given up before another upstream has answered."""
+
+    async def _ask(
+        self, second: Script = answer, *, others_refuse: bool = False
+    ) -> tuple[int, int]:
+        """Send a request whose first run is late; return status and runs.
+
+        Further runs follow the script `second`.
+        """
+        seen: list[Seen] = []
+
+        async def serve_first_late(
+            host: int, one: Seen, writer: asyncio.StreamWriter
+        ) -> None:
+            seen.append(one)
+            if len(seen) > 1:
+                await second(one, writer)
+                return
+            for number in {0, 1, 2} - {host}:
+                fleet.hosts[number].gate.is_refusing = others_refuse
+            await asyncio.sleep(1)
+            writer.write(whole(one))
+
+        async with SiteFleet(3) as fleet:
+            fleet.store.write('op', 'config', configuration(2, '20s'))
+            await fleet.until(
+                lambda: all(one.policy.version == 2 for one in fleet.hosts)
+            )
+            for number, upstream in enumerate(fleet.upstreams):
+                upstream.script = partial(serve_first_late, number)
+            reply = await fleet.ask()
+            await fleet.until(
+                lambda: not any(host.in_flight for host in fleet.hosts)
+            )
+            return reply.status, len(seen)
+
+    # A late run was cut, all other gates refused, and the caller got a 502.
+    def test_late_run_goes_on_while_all_other_gates_refuse(self) -> None:
+        """Answer from the late upstream if no other gate takes the request."""
+
+        async def body() -> None:
+            outcome = await self._ask(others_refuse=True)
+            self.assertEqual((200, 1), outcome)
+
+        run_async(body())
+
+    # A late run was cut for one that broke off, and the caller got a 502.
+    def test_late_run_goes_on_after_the_second_broke_off(self) -> None:
+        """Answer from the late upstream if the second attempt fails."""
+
+        async def body() -> None:
+            self.assertEqual((200, 2), await self._ask(_break_off))
+
+        run_async(body())
+
+    # A late run was cut for one that hung, and the caller got a 504.
+    def test_late_run_goes_on_while_the_second_hangs(self) -> None:
+        """Answer from the late upstream if it is the first to answer."""
+
+        async def body() -> None:
+            self.assertEqual((200, 2), await self._ask(_hang))
+
+        run_async(body())
+
+
 def _current() -> asyncio.Task[Any]:
     task = asyncio.current_task()
     assert task is not None
