Hedge late attempts instead of cutting them

Callers saw a 502 of ours for requests that an upstream was running, around planned restarts.

Cause: an attempt that took three times the usual was ended, with the run at its upstream, before another gate had taken the request. Where the other gates refused, as all do in a rolling restart, nothing was left. The class: something that is held is given up before what is to replace it has been obtained.

Change: the late attempt goes on while a second one runs beside it (callers/hedging). The first success ends the other; a refusal or failure of one leaves the other at work; a refusal is passed on only if neither may have run. What may run again, and the fleet's bound on retries, are as before. So no order of refusals can end a run for nothing.

The tests of AttemptTimer check the same three cases on its new form, in which on_late cancels by a call instead of by what it returns.

--- a/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
+++ b/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
@@ -29,8 +29,9 @@
 
     `deadline` and `aim_at` are in monotonic seconds. `is_retry` marks a
     call that an upstream makes in a run that was itself a retry.
-    `tried_hosts` holds the hosts to leave out and `reached_hosts` those whose
-    upstreams received the request. If `only_hosts` is not empty, only its
+    `tried_hosts` holds the hosts to leave out, `pending_hosts` those with an
+    unfinished attempt and `reached_hosts` those whose upstreams received the
+    request. If `only_hosts` is not empty, only its
     hosts may be used. `sends` counts the attempts sent to gates, and `runs`
     those that ran or may have run. `attempts` lists those that have ended.
     """
@@ -47,6 +48,7 @@
     aim_at: float
     outgoing: OutgoingRequest
     tried_hosts: set[str] = field(default_factory=set)
+    pending_hosts: set[str] = field(default_factory=set)
     reached_hosts: set[str] = field(default_factory=set)
     only_hosts: frozenset[str] = frozenset()
     sends: int = 0
@@ -76,9 +78,16 @@
     def host_query(self) -> HostQuery:
         """Return the requirements for the host of the next attempt."""
         return HostQuery(
-            self.service, self.route.name, self.tried_hosts, self.only_hosts
+            self.service, self.route.name, self.excluded_hosts, self.only_hosts
         )
 
+    @property
+    def excluded_hosts(self) -> set[str]:
+        """Return the hosts that may not get the next attempt."""
+        if not self.pending_hosts:
+            return self.tried_hosts
+        return self.tried_hosts | self.pending_hosts
+
     @property
     def can_resend(self) -> bool:
         """Return whether the body is in memory and can be sent again."""
--- a/packages/callers/src/dragonflyknot/callers/requestrunner.py
+++ b/packages/callers/src/dragonflyknot/callers/requestrunner.py
@@ -1,25 +1,26 @@
 """Send an admitted request to gates, in one or several attempts.
 
 `resendrules` decides whether a request is sent again after an attempt. An
-attempt that is late while another host has free slots is cancelled if it may
-run again. The delay counts against its host at once, not only when the
-request times out.
+attempt that is late while another host has free slots is hedged if it may run
+again: it goes on until another attempt has answered. The delay counts against
+its host at once, not only when the request times out.
 """
 
 import asyncio
 import time
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
-from dragonflyknot.callers.attempttimer import AttemptTimer
 from dragonflyknot.callers.forwardedrequest import (
     AttemptRecord,
     ForwardedRequest,
 )
-from dragonflyknot.callers.resendrules import (
-    MIN_SERVER_ERROR_STATUS,
-    ResendRules,
+from dragonflyknot.callers.hedging import (
+    Hedge,
+    HedgedAttempt,
+    has_succeeded,
 )
+from dragonflyknot.callers.resendrules import ResendRules
 from dragonflyknot.callers.siteedgeports import (
     LateAction,
     LateAttempt,
@@ -57,17 +58,26 @@
         self._ports.site_retries.count_request(
             forwarded.service, time.monotonic(), is_retry=forwarded.is_retry
         )
+        outcome = await self._send_until_settled(
+            forwarded, forwarded.request.task
+        )
+        return _result_of(forwarded, outcome)
+
+    async def _send_until_settled(
+        self, forwarded: ForwardedRequest, task: asyncio.Task[Any]
+    ) -> Outcome:
+        """Send a request in `task` until it may not be sent again."""
         while True:
-            outcome = await self._send(forwarded)
-            if outcome is None:
-                continue
+            outcome = await self._send(forwarded, task)
             if not self._rules.should_send_again(forwarded, outcome):
-                return _result_of(forwarded, outcome)
+                return outcome
             if forwarded.only_hosts:
                 await asyncio.sleep(self._retry_pause_s())
 
-    async def _send(self, forwarded: ForwardedRequest) -> Outcome | None:
-        """Return how an attempt ended, None if it was cancelled as late."""
+    async def _send(
+        self, forwarded: ForwardedRequest, task: asyncio.Task[Any]
+    ) -> Outcome:
+        """Return how an attempt, or a hedge beside it, ended."""
         ports = self._ports
         now = time.monotonic()
         candidate = ports.balancer.choose(forwarded.host_query, now, ports.rng)
@@ -87,62 +97,68 @@
             version=ports.site.version,
             is_retry=forwarded.is_retry or bool(forwarded.reached_hosts),
         )
-        candidate.in_flight += 1
-        ending = balancer.Ending.CANCELLED
         timed = _TimedAttempt(forwarded, candidate, now)
+        hedged = HedgedAttempt(
+            task,
+            ports.balancer.late_after_s(candidate, forwarded.route.name, now),
+            lambda: self._handle_late(timed),
+        )
+        return await hedged.run(self._send_to(timed, hop))
+
+    async def _send_to(self, timed: '_TimedAttempt', hop: Hop) -> Outcome:
+        """Return how an attempt at its candidate ended."""
+        forwarded = timed.forwarded
+        candidate = timed.candidate
+        host = candidate.place.host
+        candidate.in_flight += 1
+        forwarded.pending_hosts.add(host)
         try:
-            with AttemptTimer(
-                forwarded.request.task,
-                ports.balancer.late_after_s(
-                    candidate, forwarded.route.name, now
-                ),
-                lambda: self._handle_late(timed),
-            ):
-                outcome = await ports.sender.send(
-                    candidate, hop, forwarded.outgoing
-                )
-                timed.outcome = outcome
-                ending = _balancer_ending(outcome)
-                if _has_reached_upstream(outcome):
-                    forwarded.reached_hosts.add(forwarded.last_host)
-                return outcome
+            timed.outcome = await self._ports.sender.send(
+                candidate, hop, forwarded.outgoing
+            )
+            if _has_reached_upstream(timed.outcome):
+                forwarded.reached_hosts.add(host)
+            return timed.outcome
         finally:
-            _record_end(timed, ending)
-        return None
+            forwarded.pending_hosts.discard(host)
+            _record_end(timed)
+
+    async def _hedge(self, forwarded: ForwardedRequest) -> Outcome:
+        """Return how the attempts beside a late one ended."""
+        task = asyncio.current_task()
+        assert task is not None
+        return await self._send_until_settled(forwarded, task)
 
-    def _handle_late(self, timed: '_TimedAttempt') -> bool:
-        """Count a late attempt against its host; return whether to cancel."""
+    def _handle_late(self, timed: '_TimedAttempt') -> Hedge | None:
+        """Count a late attempt against its host; return a hedge if allowed."""
         forwarded = timed.forwarded
         now = time.monotonic()
         waited_s = now - timed.began
         timed.is_counted_late = True
         timed.candidate.record_late(now)
         forwarded.reached_hosts.add(timed.candidate.place.host)
-        is_cancelled = self._may_replace(timed, waited_s, now)
-        if is_cancelled:
-            forwarded.runs += 1
+        may_hedge = self._may_hedge(timed, waited_s, now)
         self._ports.counts.late(
             LateAttempt(
                 forwarded.request_id,
                 forwarded.route.name,
                 timed.candidate.place.host,
                 waited_s,
-                LateAction.CANCELLED if is_cancelled else LateAction.KEPT,
+                LateAction.HEDGED if may_hedge else LateAction.KEPT,
             )
         )
-        return is_cancelled
+        return self._hedge(forwarded) if may_hedge else None
 
-    def _may_replace(
+    def _may_hedge(
         self, timed: '_TimedAttempt', waited_s: float, now: float
     ) -> bool:
-        """Return whether another attempt may replace a late one."""
+        """Return whether another attempt may run beside a late one."""
         forwarded = timed.forwarded
         # Without time for another attempt of the usual length, keep waiting.
         if forwarded.deadline - now < waited_s / balancer.LATE_AFTER_RATIO:
             return False
-        tried_hosts = {*forwarded.tried_hosts, timed.candidate.place.host}
         if not self._ports.balancer.has_room(
-            forwarded.service, tried_hosts, now
+            forwarded.service, forwarded.excluded_hosts, now
         ):
             return False
         return self._rules.may_run_again(forwarded)
@@ -177,10 +193,11 @@
     is_counted_late: bool = False
 
 
-def _record_end(timed: _TimedAttempt, ending: balancer.Ending) -> None:
+def _record_end(timed: _TimedAttempt) -> None:
     candidate = timed.candidate
     forwarded = timed.forwarded
     candidate.in_flight -= 1
+    ending = _balancer_ending(timed.outcome)
     if ending is balancer.Ending.CANCELLED and not timed.is_counted_late:
         if not forwarded.has_time:
             ending = balancer.Ending.LATE
@@ -213,9 +230,11 @@
             return True
 
 
-def _balancer_ending(outcome: Outcome) -> balancer.Ending:
+def _balancer_ending(outcome: Outcome | None) -> balancer.Ending:
     match outcome:
-        case Answered(status) if status < MIN_SERVER_ERROR_STATUS:
+        case None:
+            return balancer.Ending.CANCELLED
+        case Answered() if has_succeeded(outcome):
             return balancer.Ending.DONE
         case NotRun(Refusal.SHED, False):
             return balancer.Ending.REFUSED
--- a/packages/callers/src/dragonflyknot/callers/resendrules.py
+++ b/packages/callers/src/dragonflyknot/callers/resendrules.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from dragonflyknot.callers.forwardedrequest import ForwardedRequest
+from dragonflyknot.callers.hedging import has_succeeded
 from dragonflyknot.callers.siteedgeports import SiteEdgePorts
 from dragonflyknot.decisions.siteretries import RetryClass
 from dragonflyknot.exchange.outcomes import (
@@ -19,7 +20,6 @@
 )
 
 MAX_SENDS_PER_REQUEST: Final = 6
-MIN_SERVER_ERROR_STATUS: Final = 500
 
 
 class ResendRules:
@@ -37,8 +37,10 @@
         A further run is charged to the fleet's bound on retries.
         """
         match outcome:
-            case Answered(status):
-                return self._may_retry_failure(forwarded, status)
+            case Answered():
+                if has_succeeded(outcome):
+                    return False
+                return self._may_retry_failure(forwarded)
             case NotRun(_refusal, reached_upstream):
                 if not reached_upstream:
                     return self._may_try_other_gate(forwarded)
@@ -47,17 +49,15 @@
                 forwarded.runs += 1
                 return self.may_run_again(forwarded)
 
-    def _may_retry_failure(
-        self, forwarded: ForwardedRequest, status: int
-    ) -> bool:
+    def _may_retry_failure(self, forwarded: ForwardedRequest) -> bool:
         """Return whether to retry a failure at another upstream."""
-        if status < MIN_SERVER_ERROR_STATUS or forwarded.is_call:
+        if forwarded.is_call:
             return False
         forwarded.runs += 1
         # If all hosts fail, the cause is a deeper service, and a retry would
         # fail as well.
         has_healthier = self._ports.balancer.has_healthier(
-            forwarded.service, forwarded.tried_hosts, time.monotonic()
+            forwarded.service, forwarded.excluded_hosts, time.monotonic()
         )
         return has_healthier and self.may_run_again(forwarded)
 
@@ -75,12 +75,13 @@
             return False
         if self._may_use_another(forwarded):
             return self._take_retry(forwarded)
-        if not self._take_retry(forwarded):
+        refusing_hosts = forwarded.reached_hosts - forwarded.pending_hosts
+        if not refusing_hosts or not self._take_retry(forwarded):
             return False
         # No further upstream is allowed, but those that refused may have
         # free slots by now.
-        forwarded.only_hosts = frozenset(forwarded.reached_hosts)
-        forwarded.tried_hosts -= forwarded.reached_hosts
+        forwarded.only_hosts = frozenset(refusing_hosts)
+        forwarded.tried_hosts -= refusing_hosts
         return True
 
     def may_run_again(self, forwarded: ForwardedRequest) -> bool:
--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -13,8 +13,8 @@
 import structlog
 
 from dragonflyknot.callers.forwardedrequest import ForwardedRequest
+from dragonflyknot.callers.hedging import has_succeeded
 from dragonflyknot.callers.requestrunner import RequestRunner
-from dragonflyknot.callers.resendrules import MIN_SERVER_ERROR_STATUS
 from dragonflyknot.callers.siteedgeports import SiteEdgePorts
 from dragonflyknot.decisions import siteconfig
 from dragonflyknot.decisions.origins import Origin
@@ -113,11 +113,10 @@
         """
         if forwarded.is_call or not (forwarded.runs or _is_answer(result)):
             return
-        is_served = (
-            _is_answer(result) and result.status < MIN_SERVER_ERROR_STATUS
-        )
         self._ports.throttle.ended(
-            forwarded.route.name, time.monotonic(), is_served=is_served
+            forwarded.route.name,
+            time.monotonic(),
+            is_served=_is_answer(result) and has_succeeded(result),
         )
 
     def _admit(self, request: Request) -> ForwardedRequest | PlatformRefusal:
--- a/packages/callers/src/dragonflyknot/callers/siteedgeports.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedgeports.py
@@ -68,7 +68,7 @@
 class LateAction(Enum):
     """Tell what was done about a late attempt."""
 
-    CANCELLED = 'cancelled'
+    HEDGED = 'hedged'
     KEPT = 'kept'
 
 
--- a/tests/platform/test_late_attempts.py
+++ b/tests/platform/test_late_attempts.py
@@ -1,4 +1,4 @@
-"""Test late attempts: they are cancelled if they may run again."""
+"""Test late attempts: they are hedged if they may run again."""
 
 import asyncio
 from functools import partial
@@ -20,7 +20,7 @@
     """An upstream that passes health checks answers no request."""
 
     def test_safe_requests_are_answered_by_another(self) -> None:
-        """Cancel a late attempt and answer from another upstream."""
+        """Answer from another upstream and cancel the late attempt."""
         seen: list[Seen] = []
 
         async def hang_first(one: Seen, writer: asyncio.StreamWriter) -> None:
@@ -144,7 +144,13 @@
 
         async def waited(delay_s: float, *, may_cancel: bool) -> bool:
             has_ended = False
-            with AttemptTimer(_current(), 0.01, lambda: may_cancel):
+
+            def on_late() -> None:
+                if may_cancel:
+                    timer.cancel()
+
+            timer = AttemptTimer(_current(), 0.01, on_late)
+            with timer:
                 await asyncio.sleep(delay_s)
                 has_ended = True
             return has_ended
@@ -160,7 +166,8 @@
         """Propagate the cancellation of the whole request."""
 
         async def wait() -> None:
-            with AttemptTimer(_current(), 30, lambda: True):
+            timer = AttemptTimer(_current(), 30, lambda: timer.cancel())
+            with timer:
                 await asyncio.sleep(30)
 
         async def body() -> None:
@@ -177,13 +184,15 @@
 
         async def body() -> None:
             tasks: list[asyncio.Task[None]] = []
+            timers: list[AttemptTimer] = []
 
-            def on_late() -> bool:
+            def on_late() -> None:
                 tasks[0].cancel()
-                return True
+                timers[0].cancel()
 
             async def wait() -> None:
-                with AttemptTimer(_current(), 0.01, on_late):
+                timers.append(AttemptTimer(_current(), 0.01, on_late))
+                with timers[0]:
                     await asyncio.sleep(30)
 
             tasks.append(asyncio.ensure_future(wait()))
