Stop a host as one: serve all until callers have left, then end soon

Cause: the gate refused from 0.3 of the grace time on, the edge from 0.55 on, and the process ended after that. An upstream was out of use for some 3 s a restart, so that in a quick roll the gates of 13 of 16 hosts were out at the same time. From 0.55 on the edge refused also the calls of requests that its upstream was still running, which failed them. And a request that an edge took between 3 s and 3.3 s after SIGTERM could be cut at the end of the drain, which the users do not excuse. The class is that of the first fault: a part is taken out of use long before what needs it has ended.

Change (daemon/sitestop): the whole host serves until callers have seen that it is not ready, which the platform's probes define (two misses, a second apart). Then gate and edge refuse together, calls of running requests are still served, and the process ends once nothing is in flight. Retry-After of a host that stops is the time in which it is back.

test_gate_refuses_no_sooner_than_the_edge failed before ("True is not false"), as did test_calls_of_running_requests_are_served ("503 200" asked for, "503 503" seen).

--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -26,6 +26,8 @@
 from dragonflyknot.exchange.serverlink import Request, relay
 
 RETRY_AFTER_S: Final = 0.3
+# Usual time from the first refusal of a host that stops until it is back.
+RESTART_S: Final = 1.0
 # Part of the remaining time of a request that Retry-After may take up.
 MAX_RETRY_AFTER_SHARE: Final = 1 / 3
 
@@ -48,6 +50,11 @@
     chain_priority: int | None = None
     is_retry: bool = False
 
+    @property
+    def has_running_parent(self) -> bool:
+        """Tell whether the upstream of this host runs the request's parent."""
+        return self.chain_priority is not None
+
 
 class SiteEdge:
     """Serve requests on the listener for callers."""
@@ -64,9 +71,11 @@
         self._timeouts: set[_RequestTimeout] = set()
         self.in_flight = 0
         self.is_refusing = False
+        self._is_closed = False
 
-    def expire_all(self) -> None:
-        """Answer all pending requests as if their timeouts had expired."""
+    def close(self) -> None:
+        """Refuse everything; answer what is pending as if it timed out."""
+        self._is_closed = True
         for timeout in tuple(self._timeouts):
             timeout.expire()
 
@@ -123,10 +132,8 @@
         configuration = self._ports.site.configuration
         request_id = request.head.get(self._request_id_header) or b''
         request_id_text = request_id.decode('latin-1')
-        if self.is_refusing:
-            return PlatformRefusal(
-                Refusal.DRAINING, request_id_text, RETRY_AFTER_S
-            )
+        if self._is_closed:
+            return self._draining_refusal(request_id_text)
         if configuration is None:
             return PlatformRefusal(
                 Refusal.NOT_READY, request_id_text, RETRY_AFTER_S
@@ -140,6 +147,9 @@
             return self._refusal_if_current(
                 Refusal.KEY_UNKNOWN, request_id_text
             )
+        # Requests that the upstream still runs need their calls to end well.
+        if self.is_refusing and not owner.has_running_parent:
+            return self._draining_refusal(request_id_text)
         left_s = min(route.timeout_s, self._caller_left_s(request))
         if not self._is_within_rate(owner):
             retry_after_s = self._retry_after_s(left_s)
@@ -220,6 +230,11 @@
         if workspace:
             self._ports.rates.give_back(workspace, time.monotonic())
 
+    def _draining_refusal(self, request_id: str) -> PlatformRefusal:
+        """Ask a caller to come back once this host has been restarted."""
+        retry_after_s = RESTART_S * (1 + self._ports.rng.random() / 2)
+        return PlatformRefusal(Refusal.DRAINING, request_id, retry_after_s)
+
     def _refusal_if_current(
         self, refusal: Refusal, request_id: str
     ) -> PlatformRefusal:
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-import time
 from contextlib import AsyncExitStack
 from typing import Final
 
@@ -15,7 +14,7 @@
 
 from dragonflyknot.callers.siteedge import SiteEdge
 from dragonflyknot.callers.siteedgeports import SiteEdgeCounts, SiteEdgePorts
-from dragonflyknot.daemon import siteadmin
+from dragonflyknot.daemon import siteadmin, sitestop
 from dragonflyknot.daemon.sitemembers import SiteMembers
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.siterates import SiteRates
@@ -43,13 +42,6 @@
 from dragonflyknot.upstreams.sitegate import SiteGate
 
 TRIM_S: Final = 5.0
-GATE_STOP_SHARE: Final = 0.3
-EDGE_STOP_SHARE: Final = 0.55
-LEAST_DRAIN_SHARE: Final = 0.4
-LONGEST_DRAIN_SHARE: Final = 0.94
-EXIT_S: Final = 0.5
-POLL_S: Final = 0.05
-LAST_REQUESTS_S: Final = 0.15
 PEER_IDLE_S: Final = 90.0
 ACK_WITHOUT_STORE_S: Final = 0.5
 _log = structlog.get_logger(__name__)
@@ -138,37 +130,14 @@
             _log.info('farewell_kept', instance=leaving.instance)
 
     async def drain(self) -> None:
-        """Stop being ready and wait until nothing is in flight.
-
-        Callers leave when they see that this host is not ready. Then the
-        gate refuses, later the edge, and the rest ends by itself; what is
-        left at the end is answered as if its time were over.
-        """
+        """Stop being ready and wait until nothing is in flight."""
         self.is_draining = True
-        began = time.monotonic()
-        for server in self._servers:
-            server.is_closing = True
-        _log.info('draining', in_flight=self.in_flight)
-        grace_s = self.settings.grace_s
-        passed_s = float(0)
-        while passed_s < longest_drain_s(grace_s):
-            await asyncio.sleep(POLL_S)
-            passed_s = time.monotonic() - began
-            share = passed_s / grace_s
-            self.gate.is_refusing = share > GATE_STOP_SHARE
-            self.edge.is_refusing = share > EDGE_STOP_SHARE
-            if share > LEAST_DRAIN_SHARE and not self.in_flight:
-                break
-        self.edge.is_refusing = True
-        self.gate.is_refusing = True
-        for server in self._servers:
-            server.stop_listening()
-        self.edge.expire_all()
-        # What was sent before the close is still answered.
-        await asyncio.sleep(LAST_REQUESTS_S)
-        for server in self._servers:
-            server.close_idle()
-        _log.info('drained', in_flight=self.in_flight)
+        await sitestop.stop(
+            sitestop.StoppingParts(self.edge, self.gate, self._servers),
+            sitestop.StopTimes(
+                self.settings.callers_leave_s, self.settings.grace_s
+            ),
+        )
 
     def load(self) -> Load:
         """Return the load to tell other daemons."""
@@ -292,8 +261,3 @@
         while True:
             await asyncio.sleep(TRIM_S)
             self.links.trim()
-
-
-def longest_drain_s(grace_s: float) -> float:
-    """Return how long a stop may wait for requests in flight."""
-    return min(grace_s * LONGEST_DRAIN_SHARE, grace_s - EXIT_S)
--- a/packages/daemon/src/dragonflyknot/daemon/sitesettings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitesettings.py
@@ -13,7 +13,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteSettings:
-    """Hold the checked settings of a daemon; times are in seconds."""
+    """Hold the checked settings of a daemon; times are in seconds.
+
+    Callers leave a host within `callers_leave_s` after it stops being ready.
+    A process must end within `grace_s` after it was told to stop.
+    """
 
     host: str
     data_center: str
@@ -25,6 +29,7 @@
     upstream_listen: str
     readiness_listen: str
     operators_listen: str
+    callers_leave_s: float = 2.1
     grace_s: float = 6.0
     retry_bound: SiteRetryBound = field(default_factory=SiteRetryBound)
 
--- a/tests/platform/test_site_stops.py
+++ b/tests/platform/test_site_stops.py
@@ -6,7 +6,7 @@
 import testtools
 
 from asyncrun import run_async
-from dragonflyknot.daemon.sitehost import EXIT_S, longest_drain_s
+from dragonflyknot.daemon.sitestop import EXIT_S, StopTimes
 from dragonflyknot.decisions.calls import UpstreamState
 from fakeupstream import Seen, whole
 from sitefleet import SiteFleet, configuration
@@ -81,7 +81,78 @@
     def test_time_is_left_to_end(self) -> None:
         """Drain no longer than what leaves time to exit."""
         for grace_s in (1, 2, 6, 30):
-            self.assertLessEqual(longest_drain_s(grace_s), grace_s - EXIT_S)
+            times = StopTimes(callers_leave_s=2.1, grace_s=grace_s)
+            self.assertLessEqual(times.max_drain_s, grace_s - EXIT_S)
+            self.assertLess(times.refusing_after_s, times.max_drain_s)
+
+
+class GateDuringAStopTest(testtools.TestCase):
+    """A host that stops serves its upstream for as long as its callers."""
+
+    # In a rolling restart, all gates of a service refused at the same time,
+    # seconds before their processes ended.
+    def test_gate_refuses_no_sooner_than_the_edge(self) -> None:
+        """Run the requests of other hosts until callers are refused."""
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                host = fleet.hosts[0]
+                host.settings = replace(host.settings, grace_s=1)
+                stopping = asyncio.ensure_future(host.drain())
+                gate_refused_first = False
+                while not stopping.done():
+                    await asyncio.sleep(0.01)
+                    gate_refused_first |= (
+                        host.gate.is_refusing and not host.edge.is_refusing
+                    )
+                self.assertFalse(gate_refused_first)
+
+        run_async(body())
+
+
+class CallsDuringAStopTest(testtools.TestCase):
+    """A host that stops lets the requests at its upstream end well."""
+
+    # A host that stopped refused the calls of requests which its upstream
+    # was running, and so they failed.
+    def test_calls_of_running_requests_are_served(self) -> None:
+        """Serve a call that is made while callers are refused."""
+        is_running = asyncio.Event()
+
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                host = fleet.hosts[0]
+                host.settings = replace(host.settings, grace_s=2)
+
+                async def call(
+                    seen: Seen, writer: asyncio.StreamWriter
+                ) -> None:
+                    if '/open/' in seen.line:
+                        writer.write(whole(seen))
+                        return
+                    is_running.set()
+                    await fleet.until(lambda: host.edge.is_refusing)
+                    refused = await fleet.ask(path='/open/x', Key='')
+                    reply = await fleet.ask(
+                        path='/open/x',
+                        Key='',
+                        Attempt_Id=f'{seen.headers["attempt-id"]}.c',
+                    )
+                    statuses = f'{refused.status} {reply.status}'
+                    writer.write(whole(seen, statuses.encode()))
+
+                fleet.upstreams[0].script = call
+                fleet.hosts[1].gate.is_refusing = True
+                asked = asyncio.ensure_future(
+                    fleet.ask(path='/book/x', method='POST')
+                )
+                await is_running.wait()
+                fleet.hosts[1].gate.is_refusing = False
+                await host.drain()
+                reply = await asked
+                self.assertEqual((200, b'503 200'), (reply.status, reply.body))
+
+        run_async(body())
 
 
 class StopUnderLoadTest(testtools.TestCase):
