Log that a store was restored from an older copy

The store names its epoch in each answer, and nothing read it. The client decodes it at the border, versions carry it, and a follower that meets another epoch logs store_restored with both epochs and versions.

--- a/packages/daemon/src/dragonflyknot/daemon/follower.py
+++ b/packages/daemon/src/dragonflyknot/daemon/follower.py
@@ -17,6 +17,7 @@
     RowStore,
     Snapshot,
     StoreOut,
+    StoreVersion,
 )
 
 WAIT_S: Final = 29.0
@@ -51,6 +52,7 @@
         self._is_wanted = is_wanted or _always
         self._pause_s = pause_s
         self._due = asyncio.Event()
+        self._version: StoreVersion | None = None
         self._failures = 0
         self.is_current = False
 
@@ -74,6 +76,7 @@
 
     async def _follow(self) -> None:
         snapshot = await self._store.read(self._table)
+        self._reached(snapshot.version)
         self._read(snapshot)
         self._regained()
         version = snapshot.version
@@ -81,10 +84,26 @@
             await self._rest()
         while self._is_wanted():
             changes = await self._store.changes(self._table, version, WAIT_S)
+            self._reached(changes.version)
             if changes.rows:
                 self._changed(changes)
                 await asyncio.sleep(self._pause_s)
-            version = max(version, changes.version)
+            if changes.version.number > version.number:
+                version = changes.version
+
+    def _reached(self, version: StoreVersion) -> None:
+        before = self._version
+        self._version = version
+        if before is None or version.is_comparable(before):
+            return
+        _log.warning(
+            'store_restored',
+            table=self._table,
+            epoch=version.epoch,
+            epoch_before=before.epoch,
+            version=version.number,
+            version_before=before.number,
+        )
 
     async def _rest(self) -> None:
         self._due.clear()
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -31,6 +31,7 @@
     RowName,
     Snapshot,
     StoreOut,
+    StoreVersion,
     VersionedRow,
 )
 
@@ -77,7 +78,7 @@
         self._to_push: dict[str, SiteEntry] = {}
         self._has_news = asyncio.Event()
         self._listeners: list[Callable[[], None]] = []
-        self._versions_by_host: dict[str, int] = {}
+        self._versions_by_host: dict[str, StoreVersion] = {}
         self._unreached_since_by_host: dict[str, float] = {}
         self._has_read = asyncio.Event()
         self._is_settled = False
--- a/packages/stores/src/dragonflyknot/stores/rowstore.py
+++ b/packages/stores/src/dragonflyknot/stores/rowstore.py
@@ -1,7 +1,9 @@
 """A store of rows in tables, with a feed of what has changed.
 
-Its versions come from one counter over all tables. A feed that reports
-`HistoryLost` has dropped changes: read the rows again and go on from there.
+Its versions come from one counter over all tables. A store that is restored
+from an older copy starts a new epoch, in which the counter goes back and
+gives numbers out again. A feed that reports `HistoryLost` has dropped
+changes: read the rows again and go on from there.
 """
 
 from collections.abc import Sequence
@@ -9,13 +11,28 @@
 from typing import Protocol
 
 
+@dataclass(frozen=True, slots=True)
+class StoreVersion:
+    """Name a state of the store: a number within one epoch.
+
+    `epoch` is None where the store names none.
+    """
+
+    number: int
+    epoch: int | None = None
+
+    def is_comparable(self, other: 'StoreVersion') -> bool:
+        """Tell whether no restoration is known between two versions."""
+        return None in {self.epoch, other.epoch} or self.epoch == other.epoch
+
+
 @dataclass(frozen=True, slots=True)
 class VersionedRow:
     """Hold a row; `content` is None where the row was removed."""
 
     table: str
     key: str
-    version: int
+    version: StoreVersion
     content: bytes | None
 
 
@@ -23,7 +40,7 @@
 class Snapshot:
     """Hold rows as of one version of the store."""
 
-    version: int
+    version: StoreVersion
     rows: tuple[VersionedRow, ...]
 
 
@@ -59,13 +76,15 @@
     async def read(self, table: str) -> Snapshot:
         """Return all rows of a table. Raise StoreOut."""
 
-    async def changes(self, table: str, after: int, wait_s: float) -> Snapshot:
+    async def changes(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> Snapshot:
         """Return the rows changed after a version. Raise HistoryLost."""
 
     async def put(self, name: RowName, content: bytes) -> None:
         """Write a row, whatever it held. Raise StoreOut."""
 
     async def remove(
-        self, names: Sequence[RowName], versions: Sequence[int]
+        self, names: Sequence[RowName], versions: Sequence[StoreVersion]
     ) -> bool:
         """Remove rows that still have their versions; return whether."""
--- a/tests/platform/test_site_store.py
+++ b/tests/platform/test_site_store.py
@@ -7,7 +7,7 @@
 from adapter.storeclient import StoreClient
 from asyncrun import run_async
 from dragonflyknot.decisions.siteretries import RetryClass
-from dragonflyknot.stores.rowstore import Snapshot, StoreOut
+from dragonflyknot.stores.rowstore import Snapshot, StoreOut, StoreVersion
 from sitefleet import SiteFleet, configuration
 
 
@@ -87,6 +87,8 @@
         """Refuse."""
         raise StoreOut(f'status 503 for {table}')
 
-    async def changes(self, table: str, after: int, wait_s: float) -> Snapshot:
+    async def changes(
+        self, table: str, after: StoreVersion, wait_s: float
+    ) -> Snapshot:
         """Refuse."""
         raise StoreOut(f'status 503 for {table} after {after} in {wait_s}')
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -4,7 +4,12 @@
 
 from adapter.storeclient import StoreClient
 from asyncrun import run_async
-from dragonflyknot.stores.rowstore import HistoryLost, RowName, StoreOut
+from dragonflyknot.stores.rowstore import (
+    HistoryLost,
+    RowName,
+    StoreOut,
+    StoreVersion,
+)
 from rowstandin import RowStandIn, standing_in
 
 
@@ -26,7 +31,8 @@
                 self.assertEqual(b'500', snapshot.rows[-1].content)
                 first = snapshot.rows[0]
                 name = RowName('hosts', first.key)
-                was_removed = await client.remove([name], [first.version + 1])
+                other = StoreVersion(first.version.number + 1)
+                was_removed = await client.remove([name], [other])
                 self.assertFalse(was_removed)
                 self.assertTrue(await client.remove([name], [first.version]))
                 client.close()
@@ -63,7 +69,7 @@
                 client = StoreClient(address)
                 store.forget_history()
                 with testtools.ExpectedException(HistoryLost):
-                    await client.changes('op', 0, 1)
+                    await client.changes('op', StoreVersion(0), 1)
                 client.close()
 
         run_async(body())
