--- a/tests/rowstandin.py
+++ b/tests/rowstandin.py
@@ -1,7 +1,9 @@
 """A small stand-in of the platform's metadata store.
 
 It speaks the calls that the daemon uses: `rows-get`, `rows-feed` and
-`rows-tx`, with switches for what may fail.
+`rows-tx`, with switches for what may fail. It can go back to an older copy of
+itself, which begins a new epoch: the numbers of its versions are given out
+again, and a feed from one that it does not have gets 410.
 """
 
 import asyncio
@@ -13,17 +15,36 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from dragonflyknot.exchange.serverlink import Request, serving
+from dragonflyknot.exchange.serverlink import Request, ServerLink, serving
+
+EPOCH_HEADER = 'Store-Era'
+
+
+@dataclass(frozen=True)
+class Copy:
+    """Hold what the store held at one moment."""
+
+    rows: dict[tuple[str, str], tuple[bytes, int]]
+    history: list[dict[str, Any]]
+    version: int
+    first: int
 
 
 @dataclass
 class Switches:
-    """Say what fails; a status of 0 means that calls are answered."""
+    """Say what fails; a status of 0 means that calls are answered.
+
+    `epoch_text` replaces the text of the epoch's header; with an empty text
+    the header is left out. Answers to calls of a path in `held` are sent once
+    their event is set.
+    """
 
     status: int = 0
     silent: bool = False
     lose_answers: int = 0
     delay_s: float = 0
+    epoch_text: str | None = None
+    held: dict[str, asyncio.Event] = field(default_factory=dict)
 
 
 @dataclass
@@ -34,9 +55,11 @@
     history: list[dict[str, Any]] = field(default_factory=list)
     version: int = 0
     first: int = 0
+    epoch: int = 1
     switches: Switches = field(default_factory=Switches)
     calls: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    links: set[ServerLink] = field(default_factory=set)
 
     def write(self, table: str, key: str, content: bytes) -> None:
         """Write a row, as the operator does."""
@@ -50,8 +73,31 @@
         self.version += 1
         self._wake()
 
+    def copy(self) -> Copy:
+        """Return a copy to restore the store from later."""
+        return Copy(
+            dict(self.rows), list(self.history), self.version, self.first
+        )
+
+    def restore(self, copy: Copy, *, breaks_links: bool) -> None:
+        """Go back to a copy and begin a new epoch.
+
+        Where the connections are kept, feeds wait on from the versions that
+        they named, whether the store still has them or not.
+        """
+        self.rows = dict(copy.rows)
+        self.history = list(copy.history)
+        self.version = copy.version
+        self.first = copy.first
+        self.epoch += 1
+        if breaks_links:
+            for link in tuple(self.links):
+                link.abort()
+            self.links.clear()
+
     async def serve(self, request: Request) -> None:
         """Serve one call."""
+        self.links.add(request.link)
         body = await request.body()
         assert isinstance(body, bytes)
         url = urlsplit(request.target.decode())
@@ -62,7 +108,7 @@
         if self.switches.delay_s:
             await asyncio.sleep(self.switches.delay_s)
         if self.switches.status:
-            request.respond(self.switches.status, ())
+            request.respond(self.switches.status, self._epoch_lines())
             return
         match url.path:
             case '/rows-get':
@@ -76,7 +122,16 @@
             request.link.abort()
             request.is_answered = True
             return
-        request.respond(status, (), json.dumps(answer).encode())
+        lines = self._epoch_lines()
+        if url.path in self.switches.held:
+            await self.switches.held[url.path].wait()
+        request.respond(status, lines, json.dumps(answer).encode())
+
+    def _epoch_lines(self) -> tuple[bytes, ...]:
+        text = self.switches.epoch_text
+        if text is None:
+            text = str(self.epoch)
+        return (f'{EPOCH_HEADER}: {text}\r\n'.encode(),) if text else ()
 
     def _get(self, fields: dict[str, str]) -> tuple[int, dict[str, Any]]:
         start = fields.get('from', '')
@@ -92,6 +147,8 @@
     async def _feed(self, fields: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(fields['after'])
         longest_s = int(fields['wait_ms']) / 1000
+        if after > self.version:
+            return 410, {}
         try:
             async with asyncio.timeout(longest_s):
                 while after >= self.first and not self._news(fields, after):
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -117,8 +117,10 @@
         """Let nobody reach the store."""
         await self._store_stack.aclose()
 
-    async def start(self, number: int) -> SiteHost:
-        """Start a daemon and let its upstream announce itself."""
+    async def start(
+        self, number: int, *, is_announced: bool = True
+    ) -> SiteHost:
+        """Start a daemon and let its upstream announce itself, if asked."""
         store = StoreClient(f'127.0.0.1:{self.store_port}')
         platform = SitePlatform(
             store=store,
@@ -130,7 +132,8 @@
         host = SiteHost(self.settings[number], platform)
         await host.__aenter__()
         self.hosts[number : number + 1] = [host]
-        await self.announce(number)
+        if is_announced:
+            await self.announce(number)
         return host
 
     async def announce(
