--- a/packages/daemon/src/dragonflyknot/daemon/follower.py
+++ b/packages/daemon/src/dragonflyknot/daemon/follower.py
@@ -1,8 +1,8 @@
 """Follow a table of the platform's store.
 
 The rows are read once and then followed by the feed. Where the history is
-lost or the store was out, they are read again. A host that need not follow
-reads them now and then instead.
+lost, the store was out or it was restored from an older copy, they are read
+again. A host that need not follow reads them now and then instead.
 """
 
 import asyncio
@@ -55,6 +55,7 @@
         self._version: StoreVersion | None = None
         self._failures = 0
         self.is_current = False
+        store.subscribe(self.read_soon)
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
--- a/packages/stores/src/dragonflyknot/stores/rowstore.py
+++ b/packages/stores/src/dragonflyknot/stores/rowstore.py
@@ -2,11 +2,12 @@
 
 Its versions come from one counter over all tables. A store that is restored
 from an older copy starts a new epoch, in which the counter goes back and
-gives numbers out again. A feed that reports `HistoryLost` has dropped
-changes: read the rows again and go on from there.
+gives numbers out again: versions of two epochs are not compared. A feed that
+reports `HistoryLost` has dropped changes: read the rows again and go on from
+there.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -73,6 +74,9 @@
 class RowStore(Protocol):
     """Read, watch and change rows."""
 
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a listener when the store is found in another epoch."""
+
     async def read(self, table: str) -> Snapshot:
         """Return all rows of a table. Raise StoreOut."""
 
