Fetch a configuration from peers that the store has lost

Callers could see: a host that starts while the store is back from an older copy keeps the copy's configuration. Cause: a version of which a peer has told was fetched from the store as long as that answered, though it answered with an older one; peers were asked only where the store turned the host away. They are asked now whenever the store did not bring the version.

--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -2,8 +2,8 @@
 
 The store's feed brings new versions. A peer that tells a higher version is
 believed in so far as the version is fetched at once: from the store, or
-from a peer where the store turns this host away. A lower version is never
-installed.
+from a peer where the store turns this host away or has lost that version. A
+lower version is never installed.
 """
 
 import asyncio
@@ -158,8 +158,8 @@
                     await self._ask(random.choice(addresses))
         except (StoreOut, LinkLost, TimeoutError) as error:
             _log.info('configuration_not_fetched', error=type(error).__name__)
-            if addresses:
-                await self._ask_any(addresses)
+        if self.version < self._wanted and addresses:
+            await self._ask_any(addresses)
         if self.version < self._wanted:
             await asyncio.sleep(FETCH_PAUSE_S)
 
