Take the newest own entry of an earlier process as it is

Callers could see: requests sent to a host whose upstream leaves, as all hosts take it for ready. Cause: a process that had read its own row, older in the copy from which the store was restored, took the newer entry that a peer had for one of another writer: it published the older content with a higher stamp. An own entry that this process has not published is now like any other: the higher stamp wins, and the row is written so.

--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -3,7 +3,8 @@
 Each host owns one entry and increments its stamp, a version number, with
 every change. The entry with the higher stamp wins regardless of its source.
 A host that receives a higher stamp for its own entry, written by an earlier
-process, continues from that stamp. A removed host leaves a tombstone with its
+process, continues from that stamp; until it has published an entry itself, it
+takes the entry as it is. A removed host leaves a tombstone with its
 last stamp, which is propagated like an entry; a host that is alive replaces
 its own tombstone by an entry with a higher stamp.
 
@@ -56,6 +57,7 @@
         self._host = host
         self.entries_by_host: dict[str, SiteEntry] = {}
         self._digest = ''
+        self._has_published = False
         self._tombstones_by_host: dict[str, int] = {}
 
     @property
@@ -71,7 +73,7 @@
             known = self.entries_by_host.get(host)
             if entry.stamp <= self._last_stamp(host):
                 continue
-            if host == self._host and known is not None:
+            if host == self._host and known and self._has_published:
                 # Another host or an earlier process wrote this entry.
                 entry = replace(known, stamp=entry.stamp + 1)
             self._store(entry)
@@ -82,6 +84,7 @@
         """Replace the entry of this host; return it with its new stamp."""
         stamp = max(0, self._last_stamp(self._host)) + 1
         stamped = replace(entry, stamp=stamp)
+        self._has_published = True
         self._store(stamped)
         return stamped
 
--- a/tests/unit/test_site_view.py
+++ b/tests/unit/test_site_view.py
@@ -35,6 +35,15 @@
         assert own is not None
         self.assertEqual((7, 41), (own.place.slots, own.stamp))
 
+    # Guards against a restarted host that publishes an older entry of an
+    # earlier process above the newer one.
+    def test_newer_entry_of_an_earlier_process(self) -> None:
+        """Take the newest own entry as it is until one is published."""
+        view = SiteView('own')
+        view.merge([entry('own', 12, slots=7)])
+        view.merge([entry('own', 13, slots=9)])
+        self.assertEqual(entry('own', 13, slots=9), view.own)
+
     def test_restart_continues_from_the_stored_stamp(self) -> None:
         """Publish a newer entry than the one of an earlier process."""
         view = SiteView('own')
