Keep the rows of live hosts over a restoration of the store

Callers could see: live hosts that all others drop for a while, a host that new processes take for ready though it has acknowledged that its upstream leaves, and removed hosts that new processes take for live ones. Cause: the store was taken for complete. A row absent from a whole read counted as removed, and a row once acknowledged was not looked at again.

Where a host's row is absent in another epoch than the one in which it was seen, the host stays; peers that do not reach it remove it as ever. Each host checks in each whole read that its own entry is there with its stamp, and writes it again if not (entry_lost). Followers remove rows of hosts for which they hold a tombstone, under the condition that the row has not changed.

--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -6,6 +6,10 @@
 both go on while the store is out. Rows of hosts that left, or that nobody
 reaches, are removed by their peers under the condition that they have not
 changed.
+
+A store that was restored from an older copy lacks rows, has older ones or
+brings removed ones back. Each host writes its own row again; a row that is
+absent then says nothing about its host, and a row that is back is removed.
 """
 
 import asyncio
@@ -171,10 +175,16 @@
 
     def _read(self, snapshot: Snapshot) -> None:
         keys = {row.key for row in snapshot.rows}
-        for host in tuple(self._versions_by_host):
-            if host not in keys:
+        for host, version in tuple(self._versions_by_host.items()):
+            if host in keys:
+                continue
+            if version.is_comparable(snapshot.version):
                 self._removed(host)
+            else:
+                # The restored store may lack rows of hosts that are alive.
+                self._versions_by_host.pop(host)
         self._changed(snapshot)
+        self._keep_own_row(snapshot)
         self._settle()
         self._has_read.set()
 
@@ -200,6 +210,23 @@
             )
         return entry
 
+    def _keep_own_row(self, snapshot: Snapshot) -> None:
+        """Write the own row again if the store has lost what it acknowledged."""
+        own, written = self.view.own, self._written
+        if own is None or written is None or not written.done():
+            return
+        stamps = [
+            entry.stamp
+            for row in snapshot.rows
+            if row.key == self._settings.host
+            and row.content is not None
+            and (entry := sitewire.decode_entry(row.content)) is not None
+        ]
+        if max(stamps, default=-1) < own.stamp:
+            _log.warning('entry_lost', stamp=own.stamp, stored=stamps)
+            self._written = None
+            self._write_soon()
+
     def _removed(self, host: str) -> None:
         self._versions_by_host.pop(host, None)
         own = self.view.own
@@ -368,7 +395,7 @@
     async def _reap_on(self) -> None:
         while True:
             await asyncio.sleep(REAP_S * (0.5 + random.random()))
-            for host in self._dead():
+            for host in (*self._dead(), *self._returned()):
                 await self._reap(host)
 
     def _dead(self) -> list[str]:
@@ -383,6 +410,13 @@
             if since < oldest and self._policy.has_store
         ]
 
+    def _returned(self) -> list[str]:
+        """Return the removed hosts whose rows are in the store again."""
+        if not self._policy.has_store or not self._follows():
+            return []
+        known = self.view.entries_by_host
+        return [host for host in self._versions_by_host if host not in known]
+
     async def _reap(self, host: str) -> None:
         version = self._versions_by_host.get(host)
         self._unreached_since_by_host.pop(host, None)
