Give no stamp of a host's entry out twice

Callers could see: a host that is not used, for as long as its upstream says the same, as its peers take it for leaving. Cause: a stamp is a version too. A process that starts from an older own row counts on from that row's stamp, and meets the stamp of the entry that the store has lost; its peers keep theirs, and digests of stamps find no difference. Stamps are raised to the time of day now, or by one where that is not higher, as with a clock that was set back. A host that replaces its tombstone starts from the stamp of the tombstone that its peer has, and not from its own.

Failed before: test_stamp_of_a_lost_entry of StartOnTheCopyTest, on with other slots than before (timeout; with the same slots it passed there). The two tests of SiteView are new with the argument.

--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -131,9 +131,9 @@
             upstream.instance,
             upstream.born,
         )
-        known = self.view.own
+        known = self.view.own if self.view.has_published else None
         if known is None or not _is_same(known, entry):
-            self._news([self.view.publish(entry)])
+            self._news([self.view.publish(entry, _unix_ms())])
             self._written = None
         return self._write_soon()
 
@@ -227,12 +227,12 @@
             self._written = None
             self._write_soon()
 
-    def _removed(self, host: str) -> None:
+    def _removed(self, host: str, stamp: int = 0) -> None:
         self._versions_by_host.pop(host, None)
         own = self.view.own
-        self.view.remove(host)
+        self.view.remove(host, stamp)
         if host == self._settings.host and own is not None:
-            self._news([self.view.publish(own)])
+            self._news([self.view.publish(own, _unix_ms())])
             self._written = None
             self._write_soon()
             return
@@ -327,7 +327,7 @@
 
     async def _exchange(self, place: Place, stamps: Stamps) -> None:
         for host in self.view.removed_elsewhere(stamps):
-            self._removed(host)
+            self._removed(host, stamps.tombstones[host])
         entries = self.view.newer_than(stamps)
         wants = self.view.outdated_hosts(stamps)
         if entries or wants:
@@ -434,6 +434,10 @@
         _log.info('entry_removed', lost_host=host, done=is_done)
 
 
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
 def _is_same(known: SiteEntry, entry: SiteEntry) -> bool:
     return (
         known.place == entry.place
--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -1,7 +1,9 @@
 """The hosts of a site, merged from the store and from peers.
 
-Each host owns one entry and increments its stamp, a version number, with
-every change. The entry with the higher stamp wins regardless of its source.
+Each host owns one entry and raises its stamp, a version number, with every
+change: to the time of day, or by one where that is not higher. So a restarted
+host exceeds the stamps of an earlier process also where its last entry was
+lost with the store. The entry with the higher stamp wins regardless of its source.
 A host that receives a higher stamp for its own entry, written by an earlier
 process, continues from that stamp; until it has published an entry itself, it
 takes the entry as it is. A removed host leaves a tombstone with its
@@ -50,14 +52,17 @@
 
 
 class SiteView:
-    """Hold the newest known entry of every host."""
+    """Hold the newest known entry of every host.
+
+    `has_published` tells whether this process has published the own entry.
+    """
 
     def __init__(self, host: str) -> None:
         """Start without entries; `host` is the name of this host."""
         self._host = host
         self.entries_by_host: dict[str, SiteEntry] = {}
         self._digest = ''
-        self._has_published = False
+        self.has_published = False
         self._tombstones_by_host: dict[str, int] = {}
 
     @property
@@ -73,29 +78,33 @@
             known = self.entries_by_host.get(host)
             if entry.stamp <= self._last_stamp(host):
                 continue
-            if host == self._host and known and self._has_published:
+            if host == self._host and known and self.has_published:
                 # Another host or an earlier process wrote this entry.
                 entry = replace(known, stamp=entry.stamp + 1)
             self._store(entry)
             updates.append(entry)
         return updates
 
-    def publish(self, entry: SiteEntry) -> SiteEntry:
-        """Replace the entry of this host; return it with its new stamp."""
-        stamp = max(0, self._last_stamp(self._host)) + 1
+    def publish(self, entry: SiteEntry, now_ms: int) -> SiteEntry:
+        """Replace the entry of this host; return it with its new stamp.
+
+        `now_ms` is the time of day in Unix milliseconds.
+        """
+        stamp = max(now_ms, self._last_stamp(self._host) + 1)
         stamped = replace(entry, stamp=stamp)
-        self._has_published = True
+        self.has_published = True
         self._store(stamped)
         return stamped
 
-    def remove(self, host: str) -> None:
+    def remove(self, host: str, stamp: int = 0) -> None:
         """Replace the entry of a removed host by a tombstone.
 
-        The tombstone keeps older entries of the host out.
+        The tombstone keeps older entries of the host out. `stamp` is the one
+        of the tombstone that another host has.
         """
         known = self.entries_by_host.pop(host, None)
         if known is not None:
-            self._add_tombstone(host, known.stamp)
+            self._add_tombstone(host, max(known.stamp, stamp))
             self._digest = ''
 
     def stamps(self) -> Stamps:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -310,12 +310,7 @@
             async with SiteFleet(2) as fleet:
                 copy = fleet.store.copy()
                 await fleet.announce(0, UpstreamState.DRAINING)
-                await fleet.until(
-                    lambda: (
-                        _known_state(fleet, 1, 'host-0')
-                        is UpstreamState.DRAINING
-                    )
-                )
+                await fleet.until(_Knows(fleet, UpstreamState.DRAINING))
                 fleet.store.restore(copy, breaks_links=True)
                 await fleet.hosts[0].__aexit__(None, None, None)
                 fleet.upstreams[0].script = _refuse_health
@@ -333,6 +328,37 @@
 
         run_async(body())
 
+    # Guards against a stamp that is given out twice, as the store has lost
+    # the entry that had it: peers keep the former entry for good.
+    def test_stamp_of_a_lost_entry(self) -> None:
+        """Reach the peers with what the upstream announced after the start."""
+
+        async def body() -> None:
+            for slots in (10, 11):
+                async with SiteFleet(2) as fleet:
+                    copy = fleet.store.copy()
+                    await fleet.announce(0, UpstreamState.DRAINING)
+                    await fleet.until(_Knows(fleet, UpstreamState.DRAINING))
+                    fleet.store.restore(copy, breaks_links=True)
+                    await fleet.hosts[0].__aexit__(None, None, None)
+                    host = await fleet.start(0, is_announced=False)
+                    await host.members.restored()
+                    await fleet.announce(0, slots=slots)
+                    await fleet.until(_Knows(fleet, UpstreamState.READY))
+
+        run_async(body())
+
+
+class _Knows:
+    """Tell whether the second host knows the first one in a state."""
+
+    def __init__(self, fleet: SiteFleet, state: UpstreamState) -> None:
+        self._fleet = fleet
+        self._state = state
+
+    def __call__(self) -> bool:
+        return _known_state(self._fleet, 1, 'host-0') is self._state
+
 
 class _Store:
     """A store with a client, and a table that is followed."""
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -137,7 +137,10 @@
         return host
 
     async def announce(
-        self, number: int, state: UpstreamState = UpstreamState.READY
+        self,
+        number: int,
+        state: UpstreamState = UpstreamState.READY,
+        slots: int = 10,
     ) -> None:
         """Let an upstream announce itself."""
         self._sequence += 1
@@ -149,7 +152,7 @@
             born=1,
             sequence=self._sequence,
             state=state,
-            slots=10,
+            slots=slots,
         )
         await self.hosts[number].handle_heartbeat(beat)
 
--- a/tests/unit/test_followers.py
+++ b/tests/unit/test_followers.py
@@ -68,7 +68,7 @@
         self.rng = random.Random(2)
         self.views = [SiteView(host) for host in HOSTS]
         for number, view in enumerate(self.views):
-            view.publish(entry(HOSTS[number]))
+            view.publish(entry(HOSTS[number]), 1)
             view.merge([entry(HOSTS[number - 1])])
 
     def run_gossip_rounds(self, rounds: int) -> None:
@@ -105,7 +105,7 @@
         self.views[0].remove(HOSTS[5])
         self.run_gossip_rounds(10)
         alive = self.views[5]
-        alive.publish(entry(HOSTS[5]))
+        alive.publish(entry(HOSTS[5]), 1)
         self.run_gossip_rounds(10)
         for view in self.views:
             self.assertIn(HOSTS[5], view.entries_by_host)
--- a/tests/unit/test_site_view.py
+++ b/tests/unit/test_site_view.py
@@ -29,7 +29,7 @@
     def test_own_entry_is_only_written_locally(self) -> None:
         """Keep the own entry and raise its stamp above a received one."""
         view = SiteView('own')
-        view.publish(entry('own', 0, slots=7))
+        view.publish(entry('own', 0, slots=7), 1)
         view.merge([entry('own', 40, slots=99)])
         own = view.own
         assert own is not None
@@ -48,7 +48,7 @@
         """Publish a newer entry than the one of an earlier process."""
         view = SiteView('own')
         view.merge([entry('own', 12)])
-        self.assertEqual(13, view.publish(entry('own', 0)).stamp)
+        self.assertEqual(13, view.publish(entry('own', 0), 1).stamp)
 
     def test_tombstone_excludes_older_entries(self) -> None:
         """Ignore older entries of a removed host and accept newer ones."""
@@ -58,6 +58,27 @@
         self.assertEqual([], view.merge([entry('x', 3)]))
         self.assertEqual(1, len(view.merge([entry('x', 4)])))
 
+    # Guards against a stamp that is given out twice after a loss of entries:
+    # peers keep the former entry for good.
+    def test_entry_of_a_restarted_host_that_lacks_its_last_one(self) -> None:
+        """Exceed the stamps of earlier processes by the time of day."""
+        earlier, restarted = SiteView('own'), SiteView('own')
+        peer = SiteView('peer')
+        stored = earlier.publish(entry('own', 0), 1000)
+        peer.merge([earlier.publish(entry('own', 0, slots=7), 2000)])
+        restarted.merge([stored])
+        newest = restarted.publish(entry('own', 0, slots=9), 3000)
+        self.assertEqual([newest], peer.merge([newest]))
+
+    # Guards against a host that has to be removed many times until its stamp
+    # exceeds the one of the tombstone that its peers have.
+    def test_tombstone_of_a_higher_stamp(self) -> None:
+        """Replace a tombstone by an entry with a higher stamp at once."""
+        view = SiteView('own')
+        known = view.publish(entry('own', 0), 5)
+        view.remove('own', 900)
+        self.assertEqual(901, view.publish(known, 6).stamp)
+
     def test_digest_identifies_the_entries(self) -> None:
         """Give equal digests for equal entries only."""
         first, second = SiteView('one'), SiteView('two')
