--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -122,6 +122,27 @@
 
         run_async(body())
 
+    # Guards against a table half of which is read before a restoration.
+    def test_restoration_between_two_pages(self) -> None:
+        """Raise where the pages of a table are of two epochs."""
+
+        async def body() -> None:
+            async with _Store() as one:
+                for number in range(501):
+                    one.store.write('hosts', f'h{number:03}', b'')
+                copy = one.store.copy()
+                held = asyncio.Event()
+                one.store.switches.held['/rows-get'] = held
+                reading = asyncio.create_task(one.client.read('hosts'))
+                await one.until(lambda: '/rows-get' in one.store.calls)
+                await asyncio.sleep(0.1)
+                one.store.restore(copy, breaks_links=False)
+                held.set()
+                with testtools.ExpectedException(StoreOut):
+                    await reading
+
+        run_async(body())
+
     # Guards against a write that is taken for stored though it was lost.
     def test_late_acknowledgement_of_an_earlier_epoch(self) -> None:
         """Raise where a write was acknowledged before a restoration."""
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,5 +1,7 @@
 """Check the store client, also under faults, against a fake store."""
 
+import asyncio
+
 import testtools
 
 from adapter.storeclient import StoreClient
@@ -60,6 +62,34 @@
 
         run_async(body())
 
+    # Guards against a row that changes while its table is read in pages.
+    def test_change_between_two_pages(self) -> None:
+        """Follow a table from the version of its first page."""
+
+        async def body() -> None:
+            store = RowStandIn()
+            async with standing_in(store) as address:
+                client = StoreClient(address)
+                for number in range(501):
+                    store.write('hosts', f'h{number:03}', b'older')
+                first_page = asyncio.Event()
+                store.switches.held['/rows-get'] = first_page
+                reading = asyncio.create_task(client.read('hosts'))
+                while '/rows-get' not in store.calls:  # noqa: ASYNC110
+                    await asyncio.sleep(0.02)
+                store.write('hosts', 'h000', b'newer')
+                first_page.set()
+                snapshot = await reading
+                self.assertEqual(501, len(snapshot.rows))
+                self.assertEqual(b'older', snapshot.rows[0].content)
+                changes = await client.changes('hosts', snapshot.version, 1)
+                self.assertEqual(
+                    [b'newer'], [row.content for row in changes.rows]
+                )
+                client.close()
+
+        run_async(body())
+
     def test_lost_history(self) -> None:
         """Raise HistoryLost when the store dropped the changes."""
 
