Compare the own row with what would be written

A row that cannot be decoded would have been written again after each read of a host that does not follow the feed. No such row was seen; by reading alone.

--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -215,15 +215,13 @@
         own, written = self.view.own, self._written
         if own is None or written is None or not written.done():
             return
-        stamps = [
-            entry.stamp
+        stored = [
+            row.content
             for row in snapshot.rows
             if row.key == self._settings.host
-            and row.content is not None
-            and (entry := sitewire.decode_entry(row.content)) is not None
         ]
-        if max(stamps, default=-1) < own.stamp:
-            _log.warning('entry_lost', stamp=own.stamp, stored=stamps)
+        if stored != [sitewire.encode_entry(own)]:
+            _log.warning('entry_lost', stamp=own.stamp, rows=len(stored))
             self._written = None
             self._write_soon()
 
