--- a/packages/daemon/src/dragonflyknot/daemon/follower.py
+++ b/packages/daemon/src/dragonflyknot/daemon/follower.py
@@ -1,8 +1,8 @@
 """Follow a table of the platform's store.
 
 The rows are read once and then followed by the feed. Where the history is
-lost or the store was out, they are read again. A host that need not follow
-reads them now and then instead.
+lost, the store was out or it was restored from an older copy, they are read
+again. A host that need not follow reads them now and then instead.
 """
 
 import asyncio
@@ -17,12 +17,15 @@
     RowStore,
     Snapshot,
     StoreOut,
+    StoreVersion,
 )
 
 WAIT_S: Final = 29.0
 RARE_READ_S: Final = 15.0
 BACKOFF_S: Final = 0.3
 LONGEST_BACKOFF_S: Final = 1.5
+# Hosts that do not follow the feed read a restored store one after another.
+RESTORED_SPREAD_S: Final = 2.0
 _log = structlog.get_logger(__name__)
 
 
@@ -51,8 +54,10 @@
         self._is_wanted = is_wanted or _always
         self._pause_s = pause_s
         self._due = asyncio.Event()
+        self._version: StoreVersion | None = None
         self._failures = 0
         self.is_current = False
+        store.subscribe(self._restored)
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -74,6 +79,7 @@
 
     async def _follow(self) -> None:
         snapshot = await self._store.read(self._table)
+        self._reached(snapshot.version)
         self._read(snapshot)
         self._regained()
         version = snapshot.version
@@ -81,10 +87,30 @@
             await self._rest()
         while self._is_wanted():
             changes = await self._store.changes(self._table, version, WAIT_S)
+            self._reached(changes.version)
             if changes.rows:
                 self._changed(changes)
                 await asyncio.sleep(self._pause_s)
-            version = max(version, changes.version)
+            if changes.version.number > version.number:
+                version = changes.version
+
+    def _restored(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(random.random() * RESTORED_SPREAD_S, self.read_soon)
+
+    def _reached(self, version: StoreVersion) -> None:
+        before = self._version
+        self._version = version
+        if before is None or version.is_comparable(before):
+            return
+        _log.warning(
+            'store_restored',
+            table=self._table,
+            epoch=version.epoch,
+            epoch_before=before.epoch,
+            version=version.number,
+            version_before=before.number,
+        )
 
     async def _rest(self) -> None:
         self._due.clear()
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -117,8 +117,10 @@
         """Let nobody reach the store."""
         await self._store_stack.aclose()
 
-    async def start(self, number: int) -> SiteHost:
-        """Start a daemon and let its upstream announce itself."""
+    async def start(
+        self, number: int, *, is_announced: bool = True
+    ) -> SiteHost:
+        """Start a daemon and let its upstream announce itself, if asked."""
         store = StoreClient(f'127.0.0.1:{self.store_port}')
         platform = SitePlatform(
             store=store,
@@ -130,11 +132,15 @@
         host = SiteHost(self.settings[number], platform)
         await host.__aenter__()
         self.hosts[number : number + 1] = [host]
-        await self.announce(number)
+        if is_announced:
+            await self.announce(number)
         return host
 
     async def announce(
-        self, number: int, state: UpstreamState = UpstreamState.READY
+        self,
+        number: int,
+        state: UpstreamState = UpstreamState.READY,
+        slots: int = 10,
     ) -> None:
         """Let an upstream announce itself."""
         self._sequence += 1
@@ -146,7 +152,7 @@
             born=1,
             sequence=self._sequence,
             state=state,
-            slots=10,
+            slots=slots,
         )
         await self.hosts[number].handle_heartbeat(beat)
 
