Send a request again over another link than the one it was refused on

Callers got "not run, try again" for a request that the upstream then ran, or that ran twice, where an upstream wrote an earlier refusal once more on a kept connection. The id in an answer identifies the request but not the send: a gate that sent the refused request again over the same link took the copy of the first refusal as the answer to the second send. The edge then sent an unsafe request a third time, or promised that it had not run.

A link now remembers the ids of requests that it carried and that may be sent again (refused, or answered with a server error), and the pool passes over such a link for the same id. An id that is new to a link can't be in an answer that was made before the request. A link that has remembered 64 ids is closed, so the memory is bounded and refusals seldom cost a connection. Requests without an id are not remembered; upstreams refuse all of them.

Failing before, on: tests/platform/test_faulty_answers.py::ReplayedRefusalTest:: test_unsafe_requests_that_ran_are_not_refused testtools.matchers._impl.MismatchError: (200, 1) != (200, 2) (an unsafe request ran twice). It passes now, as do the two new tests of test_link_pool.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -20,6 +20,8 @@
 
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_IDLE_LINKS: Final = 256
+# A link that carried so many requests that were not served is closed.
+MAX_UNSERVED_IDS: Final = 64
 MIN_IDLE_TIMEOUT_S: Final = 0.1
 # After a link broke when it was reused, links are kept idle for only this
 # share of the time for which that link had been idle.
@@ -67,7 +69,8 @@
 class ClientLink(BaseProtocol):
     """Send requests on one connection, one at a time.
 
-    `idle_since` is in seconds of the monotonic clock.
+    `idle_since` is in seconds of the monotonic clock. `unserved_ids` holds
+    the ids of the requests that were sent on this link and may be sent again.
     """
 
     def __init__(self, user_timeout_ms: int) -> None:
@@ -90,6 +93,7 @@
         self.is_busy = False
         self.idle_since = time.monotonic()
         self.idle_before_use_s = float(0)
+        self.unserved_ids: set[bytes] = set()
 
     @property
     def is_reusable(self) -> bool:
@@ -188,6 +192,18 @@
         """Exclude the link from reuse; close it if it is not busy."""
         self._mark_unusable()
 
+    def remember_unserved(self, request_id: bytes) -> None:
+        """Remember a request that may be sent again, but not on this link.
+
+        A second copy of the answer to the first send would be taken as the
+        answer to the second send, as both have the same id. Requests without
+        an id are not remembered.
+        """
+        if request_id:
+            self.unserved_ids.add(request_id)
+        if len(self.unserved_ids) >= MAX_UNSERVED_IDS:
+            self._mark_unusable()
+
     def abort(self) -> None:
         """Abort the connection without flushing pending writes."""
         self._is_unusable = True
@@ -267,24 +283,21 @@
         self,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         max_idle_s: float | None = None,
+        request_id: bytes = b'',
     ) -> ClientLink:
         """Return a reusable idle link, or a new one.
 
         `max_idle_s` further limits how long a reused link may have been
-        idle. Raise LinkLost if no connection opens within the timeout.
+        idle. A link that carried `request_id` before is not used for it again.
+        Raise LinkLost if no connection opens within the timeout.
         """
         now = time.monotonic()
         limit_s = self._idle_limit_s(now)
         if max_idle_s is not None:
             limit_s = min(limit_s, max_idle_s)
-        while self._idle:
-            link = self._idle[-1]
-            link.idle_before_use_s = now - link.idle_since
-            if link.idle_before_use_s > limit_s and link.is_reusable:
-                break
-            self._idle.pop()
-            if link.is_reusable:
-                return link
+        link = self._take_idle(now, limit_s, request_id)
+        if link is not None:
+            return link
         self.trim()
         return await self._open(connect_timeout_s)
 
@@ -325,6 +338,25 @@
         while self._idle:
             self._idle.popleft().abort()
 
+    def _take_idle(
+        self, now: float, limit_s: float, request_id: bytes
+    ) -> ClientLink | None:
+        """Return the last idle link that may carry the request, if any."""
+        passed_over: list[ClientLink] = []
+        taken: ClientLink | None = None
+        while self._idle and taken is None:
+            link = self._idle[-1]
+            link.idle_before_use_s = now - link.idle_since
+            if link.idle_before_use_s > limit_s and link.is_reusable:
+                break
+            self._idle.pop()
+            if request_id in link.unserved_ids:
+                passed_over.append(link)
+            elif link.is_reusable:
+                taken = link
+        self._idle.extend(reversed(passed_over))
+        return taken
+
     def _idle_limit_s(self, now: float) -> float:
         if now >= self._reduced_until:
             return self.idle_s
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -46,6 +46,7 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 UNREACHABLE_BACKOFF_S: Final = 0.3
 MISDIRECTED_REQUEST_STATUS: Final = 421
+MIN_SERVER_ERROR_STATUS: Final = 500
 # Part of its remaining time that a call may wait for a slot.
 MAX_CALL_WAIT_SHARE: Final = 0.4
 USABLE_SHARE: Final = 0.94
@@ -284,6 +285,7 @@
             link = await self._pool.acquire(
                 CONNECT_TIMEOUT_S,
                 None if outgoing.is_safe else MAX_IDLE_FOR_UNSAFE_S,
+                outgoing.request_id,
             )
         except LinkLost:
             self._unreachable_until = time.monotonic() + UNREACHABLE_BACKOFF_S
@@ -318,7 +320,7 @@
         if isinstance(outgoing.body, bytes):
             link.send(head + outgoing.body, is_head=is_head)
             answer = await self._receive_answer(link, outgoing)
-            return await self._outcome_of(link, answer)
+            return await self._outcome_of(link, answer, outgoing)
         link.send(head, is_head=is_head)
         return await self._exchange_long_body(link, outgoing, outgoing.body)
 
@@ -334,7 +336,7 @@
             if not sending.done():
                 # The rest of the body must not be parsed as a new request.
                 link.mark_unusable()
-            return await self._outcome_of(link, answer)
+            return await self._outcome_of(link, answer, outgoing)
         finally:
             sending.cancel()
 
@@ -357,15 +359,17 @@
             return True
         return echoed is None or echoed == outgoing.request_id
 
-    async def _outcome_of(self, link: ClientLink, answer: Response) -> Outcome:
+    async def _outcome_of(
+        self, link: ClientLink, answer: Response, outgoing: OutgoingRequest
+    ) -> Outcome:
         body = await read_body(answer)
         status = answer.status
-        if status == MISDIRECTED_REQUEST_STATUS:
-            self._return_link(link, answer)
-            return NotRun(Refusal.WRONG_INCARNATION, reached_upstream=True)
-        if answer.head.get(self._not_run_header) is not None:
+        refusal = self._refusal_in(answer)
+        if refusal is not None or status >= MIN_SERVER_ERROR_STATUS:
+            link.remember_unserved(outgoing.request_id)
+        if refusal is not None:
             self._return_link(link, answer)
-            return NotRun(Refusal.SHED, reached_upstream=True)
+            return NotRun(refusal, reached_upstream=True)
         signature = answer.head.get(self._signature_header)
         encoded = answer.head.get(b'content-encoding')
         if signature is None or encoded is not None:
@@ -379,6 +383,14 @@
             status, lines, body, answer.length, self._link_release(link)
         )
 
+    def _refusal_in(self, answer: Response) -> Refusal | None:
+        """Return the refusal if the upstream states that nothing was run."""
+        if answer.status == MISDIRECTED_REQUEST_STATUS:
+            return Refusal.WRONG_INCARNATION
+        if answer.head.get(self._not_run_header) is not None:
+            return Refusal.SHED
+        return None
+
     def _link_release(self, link: ClientLink) -> Callable[[], None]:
         return lambda: self._pool.release(link)
 
--- a/tests/platform/test_link_pool.py
+++ b/tests/platform/test_link_pool.py
@@ -84,3 +84,49 @@
                     self.fail('The link was not lost.')
 
         run_async(body())
+
+
+class RefusedRequestTest(testtools.TestCase):
+    """A request that is sent again goes over another link."""
+
+    # Guards against a second answer to the first send that is taken as the
+    # answer to the second send.
+    def test_link_is_not_used_twice_for_a_request(self) -> None:
+        """Pass over the link, and leave it to other requests."""
+
+        async def body() -> None:
+            async with serving('127.0.0.1', 0, _answer) as server:
+                pool = LinkPool(
+                    '127.0.0.1', server.port, idle_s=8, user_timeout_ms=1000
+                )
+                first = await _exchange(pool)
+                first.remember_unserved(b'a')
+                second = await pool.acquire(request_id=b'a')
+                self.assertIsNot(first, second)
+                self.assertIs(first, await pool.acquire(request_id=b'b'))
+                pool.release(second)
+                pool.release(first)
+                self.assertIs(second, await pool.acquire(request_id=b'a'))
+                pool.close()
+                second.abort()
+
+        run_async(body())
+
+    # Guards against ids that are collected without a bound.
+    def test_remembered_ids_are_bounded(self) -> None:
+        """Close a link that carried too many requests to be sent again."""
+
+        async def body() -> None:
+            async with serving('127.0.0.1', 0, _answer) as server:
+                pool = LinkPool(
+                    '127.0.0.1', server.port, idle_s=8, user_timeout_ms=1000
+                )
+                link = await _exchange(pool)
+                for number in range(clientlink.MAX_UNSERVED_IDS):
+                    self.assertIs(link, await pool.acquire())
+                    link.remember_unserved(b'%d' % number)
+                    pool.release(link)
+                self.assertIsNot(link, await pool.acquire())
+                pool.close()
+
+        run_async(body())
