Take an answer without the id of the request for no promise

Callers got "not run, try again" (503) for a request that the upstream had run, got the body of an earlier answer, or a request was sent to up to five upstreams, where an answer without an id was on the connection: an answer without the header was taken as the answer to whatever had been sent last, and a request without an id took any answer.

An answer now belongs to a request if it has its id (or both have none). One without an id is accepted for a request with an id only on a link that has carried no other request, and never as a promise: a refusal (Not-Executed or 421) that does not name the request counts as one that may have run, so that an unsafe request ends with 502 and is not sent again. Other answers are skipped like those with another id. Upstreams echo the id in each answer and refuse requests without an id without one, so nothing that a sound upstream sends changes its meaning. A health check skips answers to requests in the same way.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -70,7 +70,8 @@
     """Send requests on one connection, one at a time.
 
     `idle_since` is in seconds of the monotonic clock. `unserved_ids` holds
-    the ids of the requests that were sent on this link and may be sent again.
+    the ids of the requests that were sent on this link and may be sent again,
+    and `sends` counts all requests sent on it.
     """
 
     def __init__(self, user_timeout_ms: int) -> None:
@@ -95,6 +96,7 @@
         self.idle_since = time.monotonic()
         self.idle_before_use_s = float(0)
         self.unserved_ids: set[bytes] = set()
+        self.sends = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -162,6 +164,7 @@
             self._reader = self._new_parser(self._loop, has_body=not is_head)
             self._parser = self._reader
         self.is_busy = True
+        self.sends += 1
         self._last_response = None
         self._incomplete_head_bytes = 0
         self.transport.write(content)
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -142,6 +142,7 @@
         An instance that is leaving does not answer with status 200.
         """
         head = b'GET %b HTTP/1.1\r\nHost: health\r\n\r\n' % path.encode()
+        check = OutgoingRequest('GET', path.encode(), [], b'', b'')
         try:
             link = await self._pool.acquire(CONNECT_TIMEOUT_S)
         except LinkLost:
@@ -149,7 +150,7 @@
         try:
             async with asyncio.timeout(1):
                 link.send(head, is_head=False)
-                answer = await link.receive()
+                answer = await self._receive_answer(link, check)
                 await read_body(answer)
         except (LinkLost, TimeoutError, links.BodyBroken):
             link.abort()
@@ -348,7 +349,7 @@
         """Return the answer to the request; skip those to other requests."""
         for _ in range(MAX_SKIPPED_ANSWERS):
             answer = await link.receive()
-            if self._is_answer_to(answer, outgoing):
+            if self._is_answer_to(answer, outgoing, link):
                 return answer
             _log.info('answer_of_another_request', status=answer.status)
             link.mark_unusable()
@@ -357,12 +358,21 @@
         raise LinkLost(was_sent=True)
 
     def _is_answer_to(
-        self, answer: Response, outgoing: OutgoingRequest
+        self, answer: Response, outgoing: OutgoingRequest, link: ClientLink
     ) -> bool:
-        echoed = answer.head.get(self._request_id_header)
-        if not outgoing.request_id:
+        """Return whether an answer belongs to the request that was sent last.
+
+        It must have the id of the request. An answer without an id is accepted
+        on a link that has not carried any other request.
+        """
+        if self._echoes_id(answer, outgoing):
             return True
-        return echoed is None or echoed == outgoing.request_id
+        return self._request_id_header not in answer.head and link.sends == 1
+
+    def _echoes_id(self, answer: Response, outgoing: OutgoingRequest) -> bool:
+        """Return whether an answer has the id of the request, or both none."""
+        echoed = answer.head.get(self._request_id_header, b'')
+        return echoed == outgoing.request_id
 
     async def _outcome_of(
         self, link: ClientLink, answer: Response, outgoing: OutgoingRequest
@@ -372,6 +382,10 @@
         refusal = self._refusal_in(answer)
         if refusal is not None or status >= MIN_SERVER_ERROR_STATUS:
             link.remember_unserved(outgoing.request_id)
+        if refusal is not None and not self._echoes_id(answer, outgoing):
+            # A promise that nothing was run must name the request.
+            link.abort()
+            return MayHaveRun(Refusal.UPSTREAM_BROKE)
         if refusal is not None:
             self._return_link(link, answer)
             return NotRun(refusal, reached_upstream=True)
--- a/tests/platform/test_faulty_answers.py
+++ b/tests/platform/test_faulty_answers.py
@@ -155,3 +155,102 @@
                 await fleet.until(lambda: upstream.dropped == 1)
 
         run_async(body())
+
+
+class UnidentifiedAnswerTest(testtools.TestCase):
+    """An upstream writes an answer without the id of a request."""
+
+    # Guards against a refusal without an id, left over on a kept connection,
+    # that is taken as a promise for the request sent after it.
+    def test_left_over_answer_is_skipped(self) -> None:
+        """Wait for the answer with the id of the request."""
+        connections: set[int] = set()
+        left_over = (
+            b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n'
+            b'Content-Length: 0\r\n\r\n',
+            b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n'
+            b'Content-Length: 3\r\n\r\nold',
+        )
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                upstream = fleet.upstreams[0]
+                for extra in left_over:
+
+                    async def script(
+                        seen: Seen,
+                        writer: asyncio.StreamWriter,
+                        extra: bytes = extra,
+                    ) -> None:
+                        if id(writer) in connections:
+                            writer.write(extra)
+                        connections.add(id(writer))
+                        writer.write(whole(seen))
+
+                    upstream.script = script
+                    for _request in range(3):
+                        reply = await fleet.ask(path='/book/x', method='POST')
+                        self.assertEqual(
+                            (200, b'ok'), (reply.status, reply.body), str(extra)
+                        )
+                requests = 3 * len(left_over)
+                self.assertEqual(requests, len(upstream.seen))
+
+        run_async(body())
+
+    # Guards against a promise that rests on a refusal without an id.
+    def test_refusal_without_an_id_is_no_promise(self) -> None:
+        """Answer 502, as the request may have run, and send it to no other."""
+
+        async def refuse(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            head = 'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n'
+            writer.write(f'{head}Content-Length: 0\r\n\r\n'.encode())
+
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                for upstream in fleet.upstreams:
+                    upstream.script = refuse
+                reply = await fleet.ask(path='/book/x', method='POST')
+                sends = sum(len(one.seen) for one in fleet.upstreams)
+                self.assertEqual((502, 1), (reply.status, sends))
+
+        run_async(body())
+
+    # Guards against a promise that is withheld from a request without an id.
+    def test_request_without_an_id_is_refused_without_one(self) -> None:
+        """Promise not-run, and give it no answer with another id."""
+
+        async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(whole(Seen('', {'attempt-id': 'old'}, b''), b'old'))
+            head = 'HTTP/1.1 400 No id\r\nNot-Executed: 1\r\n'
+            writer.write(f'{head}Content-Length: 0\r\n\r\n'.encode())
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                fleet.upstreams[0].script = script
+                for _request in range(3):
+                    reply = await fleet.ask(Attempt_Id='')
+                    self.assertEqual(503, reply.status)
+
+        run_async(body())
+
+    # Guards against an answer to a request that is taken for a health check.
+    def test_health_check_skips_answers_to_requests(self) -> None:
+        """Return the instance in the answer without an id."""
+        name = 'Instance-Id'
+
+        async def script(_seen: Seen, writer: asyncio.StreamWriter) -> None:
+            extra = Seen('', {'attempt-id': 'old'}, b'')
+            writer.write(whole(extra, b'', '503 Full', f'{name}: wrong\r\n'))
+            head = f'HTTP/1.1 200 OK\r\n{name}: right\r\n'
+            writer.write(f'{head}Content-Length: 0\r\n\r\n'.encode())
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                await fleet.ask()
+                fleet.upstreams[0].script = script
+                instance = await fleet.hosts[0].gate.check_health('/healthz')
+                self.assertEqual('right', instance)
+
+        run_async(body())
