Skip interim responses of upstreams and peers

Callers got 502 for a request that the upstream answered after an interim response (100, 103), and a signed 101 was even passed on to the caller: a client link took each of them as the final response, and the gate found it unsigned or returned it.

A client link now skips interim responses (RFC 9110, section 15.2), up to 16 for a request; more of them, or 101, which no request asks for, break the link. One that follows a complete response excludes the link from reuse, as other extra bytes do. This holds for upstreams, peers and the store, as all read with the same link.

Failing before, on, tests/platform/test_faulty_answers.py, InterimAnswerTest: test_interim_responses_are_skipped: 200 != 502 (one 100 before the answer) test_interim_responses_are_bounded: 502 != 101 (a signed 101) Both pass now.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -20,6 +20,10 @@
 
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_IDLE_LINKS: Final = 256
+FIRST_FINAL_STATUS: Final = 200
+SWITCHING_PROTOCOLS_STATUS: Final = 101
+# More interim responses to one request break the link.
+MAX_INTERIM_RESPONSES: Final = 16
 # A link that carried so many requests that were not served is closed.
 MAX_UNSERVED_IDS: Final = 64
 MIN_IDLE_TIMEOUT_S: Final = 0.1
@@ -92,6 +96,7 @@
         self._is_broken = False
         self._is_head = False
         self._incomplete_head_bytes = 0
+        self._interim_responses = 0
         self.is_busy = False
         self.idle_since = time.monotonic()
         self.idle_before_use_s = float(0)
@@ -138,6 +143,9 @@
         if not messages:
             self._limit_head(len(data))
         for message, payload in messages:
+            if message.code < FIRST_FINAL_STATUS:
+                self._skip_interim(message.code)
+                continue
             self._responses.append(
                 Response(
                     message.code,
@@ -167,6 +175,7 @@
         self.sends += 1
         self._last_response = None
         self._incomplete_head_bytes = 0
+        self._interim_responses = 0
         self.transport.write(content)
 
     async def send_body(
@@ -215,6 +224,18 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _skip_interim(self, status: int) -> None:
+        """Ignore an interim response (RFC 9110, section 15.2).
+
+        No request asks to switch protocols, so such a response is an error.
+        """
+        self._interim_responses += 1
+        is_excessive = self._interim_responses > MAX_INTERIM_RESPONSES
+        if is_excessive or status == SWITCHING_PROTOCOLS_STATUS:
+            self._fail(None)
+        elif self._responses or self._last_response is not None:
+            self.mark_unusable()
+
     def _limit_head(self, received_bytes: int) -> None:
         """Fail if the head of the response takes too many bytes.
 
--- a/tests/platform/test_faulty_answers.py
+++ b/tests/platform/test_faulty_answers.py
@@ -254,3 +254,54 @@
                 self.assertEqual('right', instance)
 
         run_async(body())
+
+
+class InterimAnswerTest(testtools.TestCase):
+    """An upstream sends informational responses."""
+
+    def status_of(self, interim: bytes, method: str, count: int) -> int:
+        """Return the status if so many come before the answer, in parts."""
+
+        async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            for _response in range(count):
+                writer.write(interim[:-3])
+                await writer.drain()
+                await asyncio.sleep(0.001)
+                writer.write(interim[-3:])
+            answer = whole(seen)
+            writer.write(answer[:-2] if method == 'HEAD' else answer)
+
+        async def body() -> int:
+            async with SiteFleet(1) as fleet:
+                fleet.upstreams[0].script = script
+                await fleet.ask(path='/book/x', method=method)
+                reply = await fleet.ask(path='/book/x', method=method)
+                return reply.status
+
+        return run_async(body())
+
+    # Guards against an interim response that is taken as the final one.
+    def test_interim_responses_are_skipped(self) -> None:
+        """Return the final answer."""
+        early_hints = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+        for interim, method, count in (
+            (b'HTTP/1.1 100 Continue\r\n\r\n', 'POST', 1),
+            (b'HTTP/1.1 100 Continue\r\n\r\n', 'HEAD', 2),
+            (early_hints, 'GET', 1),
+            (early_hints, 'POST', 8),
+            (b'HTTP/1.1 199 Any\r\nNot-Executed: 1\r\n\r\n', 'POST', 1),
+        ):
+            status = self.status_of(interim, method, count)
+            self.assertEqual(200, status, f'{interim!r} {method}')
+
+    # Guards against interim responses that are read without a bound.
+    def test_interim_responses_are_bounded(self) -> None:
+        """Answer 502 after too many, and where the protocol is switched."""
+        switch = b'HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n'
+        for interim, count in (
+            (b'HTTP/1.1 100 Continue\r\n\r\n', 100),
+            (switch + b'\r\n', 1),
+            (switch + b'Response-Signature: s\r\nAttempt-Id: a1\r\n\r\n', 1),
+        ):
+            status = self.status_of(interim, 'POST', count)
+            self.assertEqual(502, status, str(interim))
