--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -20,6 +20,12 @@
 
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_IDLE_LINKS: Final = 256
+FIRST_FINAL_STATUS: Final = 200
+SWITCHING_PROTOCOLS_STATUS: Final = 101
+# More interim responses to one request break the link.
+MAX_INTERIM_RESPONSES: Final = 16
+# A link that carried so many requests that were not served is closed.
+MAX_UNSERVED_IDS: Final = 64
 MIN_IDLE_TIMEOUT_S: Final = 0.1
 # After a link broke when it was reused, links are kept idle for only this
 # share of the time for which that link had been idle.
@@ -67,7 +73,9 @@
 class ClientLink(BaseProtocol):
     """Send requests on one connection, one at a time.
 
-    `idle_since` is in seconds of the monotonic clock.
+    `idle_since` is in seconds of the monotonic clock. `unserved_ids` holds
+    the ids of the requests that were sent on this link and may be sent again,
+    and `sends` counts all requests sent on it.
     """
 
     def __init__(self, user_timeout_ms: int) -> None:
@@ -85,18 +93,22 @@
         self._waiter: asyncio.Future[None] | None = None
         self._last_response: Response | None = None
         self._is_unusable = False
+        self._is_broken = False
         self._is_head = False
         self._incomplete_head_bytes = 0
+        self._interim_responses = 0
         self.is_busy = False
         self.idle_since = time.monotonic()
         self.idle_before_use_s = float(0)
+        self.unserved_ids: set[bytes] = set()
+        self.sends = 0
 
     @property
     def is_reusable(self) -> bool:
         """Return whether the link can carry another request."""
         if self.transport is None or self.transport.is_closing():
             return False
-        if self._is_unusable or self._responses:
+        if self._is_unusable or self._is_broken or self._responses:
             return False
         last = self._last_response
         return last is None or (last.is_keep_alive and last.reader.is_eof())
@@ -112,16 +124,16 @@
     def connection_lost(self, error: BaseException | None) -> None:
         """Fail the body in progress and wake the waiting request."""
         super().connection_lost(error)
-        self._is_unusable = True
+        self._is_broken = True
         self._end_body(error)
         self._wake_waiter()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; unsolicited bytes make the link unusable."""
-        if self._is_unusable:
+        if self._is_broken:
             return
         if not self.is_busy:
-            self._mark_unusable()
+            self._fail(None)
             return
         try:
             messages, _is_upgraded, _tail = self._reader.feed_data(data)
@@ -131,6 +143,9 @@
         if not messages:
             self._limit_head(len(data))
         for message, payload in messages:
+            if message.code < FIRST_FINAL_STATUS:
+                self._skip_interim(message.code)
+                continue
             self._responses.append(
                 Response(
                     message.code,
@@ -157,8 +172,10 @@
             self._reader = self._new_parser(self._loop, has_body=not is_head)
             self._parser = self._reader
         self.is_busy = True
+        self.sends += 1
         self._last_response = None
         self._incomplete_head_bytes = 0
+        self._interim_responses = 0
         self.transport.write(content)
 
     async def send_body(
@@ -176,8 +193,9 @@
 
     async def receive(self) -> Response:
         """Wait for the next response. Raise LinkLost if the link fails."""
+        self._last_response = None
         while not self._responses:
-            if self._is_unusable:
+            if self._is_broken:
                 raise LinkLost(was_sent=True)
             self._waiter = self._loop.create_future()
             await self._waiter
@@ -185,15 +203,39 @@
         return self._last_response
 
     def mark_unusable(self) -> None:
-        """Exclude the link from reuse; close it if it is not busy."""
-        self._mark_unusable()
+        """Exclude the link from reuse; the request in progress goes on."""
+        self._is_unusable = True
+
+    def remember_unserved(self, request_id: bytes) -> None:
+        """Remember a request that may be sent again, but not on this link.
+
+        A second copy of the answer to the first send would be taken as the
+        answer to the second send, as both have the same id. Requests without
+        an id are not remembered.
+        """
+        if request_id:
+            self.unserved_ids.add(request_id)
+        if len(self.unserved_ids) >= MAX_UNSERVED_IDS:
+            self.mark_unusable()
 
     def abort(self) -> None:
         """Abort the connection without flushing pending writes."""
-        self._is_unusable = True
+        self._is_broken = True
         if self.transport is not None:
             self.transport.abort()
 
+    def _skip_interim(self, status: int) -> None:
+        """Ignore an interim response (RFC 9110, section 15.2).
+
+        No request asks to switch protocols, so such a response is an error.
+        """
+        self._interim_responses += 1
+        is_excessive = self._interim_responses > MAX_INTERIM_RESPONSES
+        if is_excessive or status == SWITCHING_PROTOCOLS_STATUS:
+            self._fail(None)
+        elif self._responses or self._last_response is not None:
+            self.mark_unusable()
+
     def _limit_head(self, received_bytes: int) -> None:
         """Fail if the head of the response takes too many bytes.
 
@@ -206,14 +248,11 @@
             self._fail(None)
 
     def _fail(self, error: BaseException | None) -> None:
-        self._mark_unusable()
-        self._end_body(error)
-        self._wake_waiter()
-
-    def _mark_unusable(self) -> None:
-        self._is_unusable = True
+        self._is_broken = True
         if self.transport is not None and not self.is_busy:
             self.transport.close()
+        self._end_body(error)
+        self._wake_waiter()
 
     def _wake_waiter(self) -> None:
         waiter = self._waiter
@@ -267,24 +306,21 @@
         self,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         max_idle_s: float | None = None,
+        request_id: bytes = b'',
     ) -> ClientLink:
         """Return a reusable idle link, or a new one.
 
         `max_idle_s` further limits how long a reused link may have been
-        idle. Raise LinkLost if no connection opens within the timeout.
+        idle. A link that carried `request_id` before is not used for it again.
+        Raise LinkLost if no connection opens within the timeout.
         """
         now = time.monotonic()
         limit_s = self._idle_limit_s(now)
         if max_idle_s is not None:
             limit_s = min(limit_s, max_idle_s)
-        while self._idle:
-            link = self._idle[-1]
-            link.idle_before_use_s = now - link.idle_since
-            if link.idle_before_use_s > limit_s and link.is_reusable:
-                break
-            self._idle.pop()
-            if link.is_reusable:
-                return link
+        link = self._take_idle(now, limit_s, request_id)
+        if link is not None:
+            return link
         self.trim()
         return await self._open(connect_timeout_s)
 
@@ -325,6 +361,25 @@
         while self._idle:
             self._idle.popleft().abort()
 
+    def _take_idle(
+        self, now: float, limit_s: float, request_id: bytes
+    ) -> ClientLink | None:
+        """Return the last idle link that may carry the request, if any."""
+        passed_over: list[ClientLink] = []
+        taken: ClientLink | None = None
+        while self._idle and taken is None:
+            link = self._idle[-1]
+            link.idle_before_use_s = now - link.idle_since
+            if link.idle_before_use_s > limit_s and link.is_reusable:
+                break
+            self._idle.pop()
+            if request_id in link.unserved_ids:
+                passed_over.append(link)
+            elif link.is_reusable:
+                taken = link
+        self._idle.extend(reversed(passed_over))
+        return taken
+
     def _idle_limit_s(self, now: float) -> float:
         if now >= self._reduced_until:
             return self.idle_s
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -46,6 +46,9 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 UNREACHABLE_BACKOFF_S: Final = 0.3
 MISDIRECTED_REQUEST_STATUS: Final = 421
+MIN_SERVER_ERROR_STATUS: Final = 500
+# After so many answers to other requests, the link is closed.
+MAX_SKIPPED_ANSWERS: Final = 8
 # Part of its remaining time that a call may wait for a slot.
 MAX_CALL_WAIT_SHARE: Final = 0.4
 USABLE_SHARE: Final = 0.94
@@ -139,6 +142,7 @@
         An instance that is leaving does not answer with status 200.
         """
         head = b'GET %b HTTP/1.1\r\nHost: health\r\n\r\n' % path.encode()
+        check = OutgoingRequest('GET', path.encode(), [], b'', b'')
         try:
             link = await self._pool.acquire(CONNECT_TIMEOUT_S)
         except LinkLost:
@@ -146,7 +150,7 @@
         try:
             async with asyncio.timeout(1):
                 link.send(head, is_head=False)
-                answer = await link.receive()
+                answer = await self._receive_answer(link, check)
                 await read_body(answer)
         except (LinkLost, TimeoutError, links.BodyBroken):
             link.abort()
@@ -284,6 +288,7 @@
             link = await self._pool.acquire(
                 CONNECT_TIMEOUT_S,
                 None if outgoing.is_safe else MAX_IDLE_FOR_UNSAFE_S,
+                outgoing.request_id,
             )
         except LinkLost:
             self._unreachable_until = time.monotonic() + UNREACHABLE_BACKOFF_S
@@ -318,7 +323,7 @@
         if isinstance(outgoing.body, bytes):
             link.send(head + outgoing.body, is_head=is_head)
             answer = await self._receive_answer(link, outgoing)
-            return await self._outcome_of(link, answer)
+            return await self._outcome_of(link, answer, outgoing)
         link.send(head, is_head=is_head)
         return await self._exchange_long_body(link, outgoing, outgoing.body)
 
@@ -334,38 +339,56 @@
             if not sending.done():
                 # The rest of the body must not be parsed as a new request.
                 link.mark_unusable()
-            return await self._outcome_of(link, answer)
+            return await self._outcome_of(link, answer, outgoing)
         finally:
             sending.cancel()
 
     async def _receive_answer(
         self, link: ClientLink, outgoing: OutgoingRequest
     ) -> Response:
-        answer = await link.receive()
-        while not self._is_answer_to(answer, outgoing):
+        """Return the answer to the request; skip those to other requests."""
+        for _ in range(MAX_SKIPPED_ANSWERS):
+            answer = await link.receive()
+            if self._is_answer_to(answer, outgoing, link):
+                return answer
             _log.info('answer_of_another_request', status=answer.status)
             link.mark_unusable()
-            await read_body(answer)
-            answer = await link.receive()
-        return answer
+            if not isinstance(await read_body(answer), bytes):
+                break
+        raise LinkLost(was_sent=True)
 
     def _is_answer_to(
-        self, answer: Response, outgoing: OutgoingRequest
+        self, answer: Response, outgoing: OutgoingRequest, link: ClientLink
     ) -> bool:
-        echoed = answer.head.get(self._request_id_header)
-        if not outgoing.request_id:
+        """Return whether an answer belongs to the request that was sent last.
+
+        It must have the id of the request. An answer without an id is accepted
+        on a link that has not carried any other request.
+        """
+        if self._echoes_id(answer, outgoing):
             return True
-        return echoed is None or echoed == outgoing.request_id
+        return self._request_id_header not in answer.head and link.sends == 1
 
-    async def _outcome_of(self, link: ClientLink, answer: Response) -> Outcome:
+    def _echoes_id(self, answer: Response, outgoing: OutgoingRequest) -> bool:
+        """Return whether an answer has the id of the request, or both none."""
+        echoed = answer.head.get(self._request_id_header, b'')
+        return echoed == outgoing.request_id
+
+    async def _outcome_of(
+        self, link: ClientLink, answer: Response, outgoing: OutgoingRequest
+    ) -> Outcome:
         body = await read_body(answer)
         status = answer.status
-        if status == MISDIRECTED_REQUEST_STATUS:
-            self._return_link(link, answer)
-            return NotRun(Refusal.WRONG_INCARNATION, reached_upstream=True)
-        if answer.head.get(self._not_run_header) is not None:
+        refusal = self._refusal_in(answer)
+        if refusal is not None or status >= MIN_SERVER_ERROR_STATUS:
+            link.remember_unserved(outgoing.request_id)
+        if refusal is not None and not self._echoes_id(answer, outgoing):
+            # A promise that nothing was run must name the request.
+            link.abort()
+            return MayHaveRun(Refusal.UPSTREAM_BROKE)
+        if refusal is not None:
             self._return_link(link, answer)
-            return NotRun(Refusal.SHED, reached_upstream=True)
+            return NotRun(refusal, reached_upstream=True)
         signature = answer.head.get(self._signature_header)
         encoded = answer.head.get(b'content-encoding')
         if signature is None or encoded is not None:
@@ -379,6 +402,14 @@
             status, lines, body, answer.length, self._link_release(link)
         )
 
+    def _refusal_in(self, answer: Response) -> Refusal | None:
+        """Return the refusal if the upstream states that nothing was run."""
+        if answer.status == MISDIRECTED_REQUEST_STATUS:
+            return Refusal.WRONG_INCARNATION
+        if answer.head.get(self._not_run_header) is not None:
+            return Refusal.SHED
+        return None
+
     def _link_release(self, link: ClientLink) -> Callable[[], None]:
         return lambda: self._pool.release(link)
 
