Go on after entries and gossip that are nested or hold huge numbers

What callers saw: one row of the hosts table, or one answer to gossip, ended the task group of every host that read it: no host followed the table or gossiped from then on, while requests went on by what was known until then.

Cause: sitewire caught ValueError, KeyError, TypeError and AttributeError, not RecursionError (100,000 nested lists) and OverflowError (int() of 1e400).

Change: sitewire reads by exchange/jsonfields. One bad entry of a message is left out and the others hold; a message of which a field of its own is bad is none. The log line names the field, not what it held.

Evidence, on the code before (tests/platform/test_other_writers.py, all four, each after 20 s without the later change):

RecursionError: maximum recursion depth exceeded while decoding a JSON array from a unicode string OverflowError: cannot convert float infinity to integer [error ] task_failed

and of tests/unit/test_site_wire.py test_malformed, test_one_odd_entry and test_any_bytes failed with the same two errors. After: all pass.

--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -9,8 +9,9 @@
 """
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Any, Final
 
 import structlog
@@ -18,10 +19,13 @@
 from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.siteview import SiteEntry, Stamps
+from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
 
 GOSSIP_PATH: Final = '/.dragonflyknot/gossip'
 CONFIGURATION_PATH: Final = '/.dragonflyknot/configuration'
-_DECODE_ERRORS: Final = (ValueError, KeyError, TypeError, AttributeError)
+_STATES_BY_VALUE: Final = MappingProxyType(
+    {state.value: state for state in UpstreamState}
+)
 _log = structlog.get_logger(__name__)
 
 
@@ -51,9 +55,9 @@
     if content is None:
         return None
     try:
-        return _decode_entry_fields(json.loads(content))
-    except _DECODE_ERRORS as error:
-        _log.warning('entry_malformed', error=type(error).__name__)
+        return _decode_entry_fields(Fields(read_json(content), 'entry'))
+    except ValueError as error:
+        _log.warning('entry_malformed', fault=str(error))
         return None
 
 
@@ -75,30 +79,31 @@
 def decode_gossip(content: bytes) -> SiteGossip | None:
     """Decode a gossip message; return None if malformed."""
     try:
-        fields = json.loads(content)
-        return SiteGossip(
-            int(fields['version']),
-            str(fields['digest']),
-            tuple(_decode_entries(fields['entries'])),
-            tuple(str(host) for host in fields.get('wants', ())),
-            _decode_stamps(fields),
-        )
-    except _DECODE_ERRORS as error:
-        _log.warning('gossip_malformed', error=type(error).__name__)
+        return _decode_gossip_fields(Fields(read_json(content), 'gossip'))
+    except ValueError as error:
+        _log.warning('gossip_malformed', fault=str(error))
         return None
 
 
-def _decode_stamps(fields: Mapping[str, Any]) -> Stamps | None:
-    if 'stamps' not in fields:
-        return None
-    return Stamps(
-        _decode_stamps_by_host(fields['stamps']),
-        _decode_stamps_by_host(fields.get('tombstones', {})),
+def _decode_gossip_fields(fields: Fields) -> SiteGossip:
+    return SiteGossip(
+        fields.integer('version'),
+        fields.string('digest'),
+        tuple(_decode_entries(fields.items('entries'))),
+        fields.strings('wants'),
+        _decode_stamps(fields) if fields.has('stamps') else None,
     )
 
 
-def _decode_stamps_by_host(fields: Mapping[Any, Any]) -> dict[str, int]:
-    return {str(host): int(stamp) for host, stamp in fields.items()}
+def _decode_stamps(fields: Fields) -> Stamps:
+    tombstones: dict[str, int] = {}
+    if fields.has('tombstones'):
+        tombstones = _decode_stamps_by_host(fields.record('tombstones'))
+    return Stamps(_decode_stamps_by_host(fields.record('stamps')), tombstones)
+
+
+def _decode_stamps_by_host(fields: Fields) -> dict[str, int]:
+    return {host: fields.integer(host) for host in fields.names()}
 
 
 def _encode_entry_fields(entry: SiteEntry) -> dict[str, Any]:
@@ -117,27 +122,34 @@
     }
 
 
-def _decode_entry_fields(fields: Any) -> SiteEntry:
+def _decode_entry_fields(fields: Fields) -> SiteEntry:
     place = Place(
-        host=str(fields['host']),
-        address=str(fields['address']),
-        data_center=str(fields['data_center']),
-        region=str(fields['region']),
-        service=str(fields['service']),
-        state=UpstreamState(fields['state']),
-        slots=int(fields['slots']),
+        host=fields.string('host'),
+        address=fields.string('address'),
+        data_center=fields.string('data_center'),
+        region=fields.string('region'),
+        service=fields.string('service'),
+        state=_decode_state(fields),
+        slots=fields.integer('slots'),
     )
     return SiteEntry(
         place,
-        str(fields['instance']),
-        int(fields['born']),
-        int(fields['stamp']),
+        fields.string('instance'),
+        fields.integer('born'),
+        fields.integer('stamp'),
     )
 
 
+def _decode_state(fields: Fields) -> UpstreamState:
+    state = _STATES_BY_VALUE.get(fields.string('state'))
+    if state is None:
+        raise FieldFault('entry.state', 'must be a known state')
+    return state
+
+
 def _decode_entries(rows: Iterable[Any]) -> Iterable[SiteEntry]:
-    for fields in rows:
+    for row in rows:
         try:
-            yield _decode_entry_fields(fields)
-        except _DECODE_ERRORS as error:
-            _log.warning('entry_malformed', error=type(error).__name__)
+            yield _decode_entry_fields(Fields(row, 'entry'))
+        except ValueError as error:
+            _log.warning('entry_malformed', fault=str(error))
--- /dev/null
+++ b/tests/platform/test_other_writers.py
@@ -0,0 +1,109 @@
+"""A site whose hosts table and whose peers hold what others wrote."""
+
+import json
+from typing import Any
+
+import testtools
+
+from asyncrun import run_async
+from dragonflyknot.exchange.serverlink import Request, serving
+from harness.addresses import free_port
+from sitefleet import SiteFleet
+
+NESTED = b'[' * 100_000
+TOO_LARGE = b'1e400'
+
+
+def entry(host: str, **changed: Any) -> bytes:
+    """Return the row of a ready host, with some fields changed."""
+    fields = {
+        'host': host,
+        'address': f'127.0.0.1:{free_port()}',
+        'data_center': 'a',
+        'region': 'north',
+        'service': 'mine',
+        'state': 'ready',
+        'slots': 10,
+        'instance': 'i',
+        'born': 1,
+        'stamp': 1,
+        **changed,
+    }
+    return json.dumps(fields).encode()
+
+
+def entry_with(host: str, field: str, text: bytes) -> bytes:
+    """Return the row of a ready host with a field as it stands in JSON."""
+    return entry(host, **{field: 'HERE'}).replace(b'"HERE"', text)
+
+
+class OddRowTest(testtools.TestCase):
+    """A row of another writer is left out, and the others hold."""
+
+    # Guards against followers that end at a row that can't be read.
+    def test_nested_row(self) -> None:
+        """Go on after a row that is nested too deeply."""
+        self._assert_followed(NESTED)
+
+    def test_number_too_large(self) -> None:
+        """Go on after a row with a number beyond all ranges."""
+        self._assert_followed(entry_with('odd', 'slots', TOO_LARGE))
+
+    def _assert_followed(self, row: bytes) -> None:
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                fleet.store.write('hosts', 'odd', row)
+                fleet.store.write('hosts', 'late', entry('late'))
+                await fleet.until(lambda: _all_know(fleet, 'late'))
+                self.assertFalse(_any_knows(fleet, 'odd'))
+                # Gossip goes on with what comes later.
+                fleet.store.write('hosts', 'later', entry('later'))
+                await fleet.until(lambda: _all_know(fleet, 'later'))
+
+        run_async(body())
+
+
+class OddPeerTest(testtools.TestCase):
+    """A peer that answers what can't be read ends no gossip."""
+
+    def test_nested_answer(self) -> None:
+        """Go on after answers that are nested too deeply."""
+        self._assert_goes_on(NESTED)
+
+    def test_number_too_large(self) -> None:
+        """Go on after answers with a number beyond all ranges."""
+        answer = b'{"version":1e400,"digest":"","entries":[]}'
+        self._assert_goes_on(answer)
+
+    def _assert_goes_on(self, answer: bytes) -> None:
+        asked: list[bytes] = []
+
+        async def serve(request: Request) -> None:
+            asked.append(request.target)
+            request.respond(200, (), answer)
+
+        async def body() -> None:
+            async with (
+                SiteFleet(2) as fleet,
+                serving('127.0.0.1', 0, serve) as server,
+            ):
+                address = f'127.0.0.1:{server.port}'
+                row = entry('odd', address=address)
+                fleet.store.write('hosts', 'odd', row)
+                await fleet.until(lambda: len(asked) > 5)
+                fleet.store.write('hosts', 'late', entry('late'))
+                await fleet.until(lambda: _all_know(fleet, 'late'))
+
+        run_async(body())
+
+
+def _all_know(fleet: SiteFleet, name: str) -> bool:
+    return all(name in _known(fleet, n) for n in range(len(fleet.hosts)))
+
+
+def _any_knows(fleet: SiteFleet, name: str) -> bool:
+    return any(name in _known(fleet, n) for n in range(len(fleet.hosts)))
+
+
+def _known(fleet: SiteFleet, number: int) -> set[str]:
+    return {one.place.host for one in fleet.hosts[number].members.entries()}
--- /dev/null
+++ b/tests/unit/test_site_wire.py
@@ -0,0 +1,130 @@
+"""Tests of the messages by which daemons of a site know each other."""
+
+import json
+from typing import Any
+
+import testtools
+from hypothesis import given, settings
+
+from dragonflyknot.decisions.balancer import Place
+from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.siteview import SiteEntry, Stamps
+from dragonflyknot.peers import sitewire
+from hostilejson import NESTED, strange_texts
+
+ENTRY: dict[str, Any] = {
+    'host': 'h',
+    'address': '127.0.0.1:80',
+    'data_center': 'a',
+    'region': 'north',
+    'service': 'mine',
+    'state': 'ready',
+    'slots': 10,
+    'instance': 'i-1',
+    'born': 99,
+    'stamp': 4,
+}
+DEEP_LIST = b'[' * 900 + b']' * 900
+GOSSIP_FIELDS = ('version', 'digest', 'entries', 'wants', 'stamps')
+USUAL = (*ENTRY.values(), ENTRY, [ENTRY])
+
+
+def entry() -> SiteEntry:
+    """Return the entry of which ENTRY holds the fields."""
+    ready = UpstreamState.READY
+    place = Place('h', '127.0.0.1:80', 'a', 'north', 'mine', ready, 10)
+    return SiteEntry(place, 'i-1', 99, 4)
+
+
+def encoded(**changed: Any) -> bytes:
+    """Return an entry with some fields changed."""
+    return json.dumps({**ENTRY, **changed}).encode()
+
+
+def gossip(*rows: Any, **fields: Any) -> bytes:
+    """Return a gossip message with entries and other fields."""
+    message = {'version': 1, 'digest': '', 'entries': rows, **fields}
+    return json.dumps(message).encode()
+
+
+class EntryTest(testtools.TestCase):
+    """An entry that can't be read is none."""
+
+    def test_round_trip(self) -> None:
+        """Decode what was encoded."""
+        decoded = sitewire.decode_entry(sitewire.encode_entry(entry()))
+        self.assertEqual(entry(), decoded)
+
+    # Guards against hosts that stop following at an entry they can't read.
+    def test_malformed(self) -> None:
+        """Leave out nesting, infinities and fields of another type."""
+        for content in (
+            NESTED,
+            encoded(slots=float('inf')),
+            encoded(born=float('nan')),
+            encoded(stamp=10**400),
+            encoded(host='HERE').replace(b'"HERE"', DEEP_LIST),
+            encoded(host=[[]]),
+            encoded(slots=True),
+            encoded(state='thinking'),
+            encoded(state=['ready']),
+            b'[]',
+            b'{}',
+        ):
+            self._assert_left_out(content)
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(strange_texts(ENTRY, USUAL))
+    def test_any_bytes(self, content: bytes) -> None:
+        """Decode any bytes to an entry that encodes again, or to none."""
+        decoded = sitewire.decode_entry(content)
+        if decoded is not None:
+            again = sitewire.decode_entry(sitewire.encode_entry(decoded))
+            self.assertEqual(decoded, again)
+
+    def _assert_left_out(self, content: bytes) -> None:
+        self.assertIsNone(sitewire.decode_entry(content), str(content[:300]))
+
+
+class GossipTest(testtools.TestCase):
+    """One entry of a message that can't be read leaves the others."""
+
+    def test_round_trip(self) -> None:
+        """Decode what was encoded."""
+        stamps = Stamps({'h': 4}, {'gone': 2})
+        message = sitewire.SiteGossip(7, 'd', (entry(),), ('x',), stamps)
+        content = sitewire.encode_gossip(message)
+        self.assertEqual(message, sitewire.decode_gossip(content))
+
+    def test_one_odd_entry(self) -> None:
+        """Hold the entries beside one that can't be read."""
+        odd_ones: tuple[Any, ...] = ({**ENTRY, 'slots': 10**400}, {}, [], None)
+        for odd in odd_ones:
+            decoded = sitewire.decode_gossip(gossip(odd, ENTRY))
+            assert decoded is not None
+            self.assertEqual((entry(),), decoded.entries)
+
+    # Guards against gossip that ends at an answer it can't read.
+    def test_malformed(self) -> None:
+        """Read no message where a field of its own can't be read."""
+        for content in (
+            NESTED,
+            gossip(version=float('inf')),
+            gossip(version=10**400),
+            gossip(stamps={'h': float('inf')}),
+            gossip(stamps={'h': 1}, tombstones={'h': 10**400}),
+            gossip(stamps=[]),
+            gossip(wants=[[]]),
+            gossip(entries={'h': ENTRY}),
+            b'[]',
+        ):
+            self.assertIsNone(sitewire.decode_gossip(content))
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(strange_texts((*GOSSIP_FIELDS, *ENTRY), USUAL))
+    def test_any_bytes(self, content: bytes) -> None:
+        """Decode any bytes to a message that encodes again, or to none."""
+        decoded = sitewire.decode_gossip(content)
+        if decoded is not None:
+            again = sitewire.decode_gossip(sitewire.encode_gossip(decoded))
+            self.assertEqual(decoded, again)
