Go on after demand reports and meter replies that can't be read

What callers saw: a host whose meter answers nested or with numbers out of range reports no more, as the task that reports has ended; its limits then stay at the equal share. Infinite and undefined numbers reached the sums of a meter.

Change: both are read by exchange/jsonfields; rates and counts lie within 1e9, so that the sums over all hosts stay finite. The log lines name the field.

--- a/packages/peers/src/dragonflyknot/peers/demandwire.py
+++ b/packages/peers/src/dragonflyknot/peers/demandwire.py
@@ -4,7 +4,7 @@
 """
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -15,9 +15,11 @@
     MeterReply,
     WorkspaceDemand,
 )
+from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
 
 DEMAND_PATH: Final = '/.dragonflyknot/demand'
-_DECODE_ERRORS: Final = (ValueError, KeyError, TypeError, AttributeError)
+MAX_PER_S: Final = 1e9
+"""Highest rate and count of a message; sums over all hosts stay finite."""
 _log = structlog.get_logger(__name__)
 
 
@@ -44,14 +46,9 @@
 def decode_report(content: bytes) -> DemandReport | None:
     """Decode a demand report; return None if malformed."""
     try:
-        fields = json.loads(content)
-        demand = {
-            str(workspace): WorkspaceDemand(float(per_s), float(admitted))
-            for workspace, (per_s, admitted) in fields['demand'].items()
-        }
-        return DemandReport(str(fields['host']), demand)
-    except _DECODE_ERRORS as error:
-        _log.warning('report_malformed', error=type(error).__name__)
+        return _decode_report_fields(Fields(read_json(content), 'report'))
+    except ValueError as error:
+        _log.warning('report_malformed', fault=str(error))
         return None
 
 
@@ -73,14 +70,36 @@
 def decode_meter_reply(content: bytes) -> MeterReply:
     """Decode the reply of a meter; nothing is granted if malformed."""
     try:
-        fields = json.loads(content)
-        allowances = {
-            str(workspace): Allowance(float(fleet_per_s), float(allowed_per_s))
-            for workspace, (fleet_per_s, allowed_per_s) in fields[
-                'allowances'
-            ].items()
-        }
-        return MeterReply(fields['granting'] is True, allowances)
-    except _DECODE_ERRORS as error:
-        _log.warning('meter_reply_malformed', error=type(error).__name__)
+        return _decode_reply_fields(Fields(read_json(content), 'reply'))
+    except ValueError as error:
+        _log.warning('meter_reply_malformed', fault=str(error))
         return MeterReply()
+
+
+def _decode_report_fields(fields: Fields) -> DemandReport:
+    pairs = _decode_pairs(fields.record('demand'))
+    demand = {
+        workspace: WorkspaceDemand(per_s, admitted)
+        for workspace, per_s, admitted in pairs
+    }
+    return DemandReport(fields.string('host'), demand)
+
+
+def _decode_reply_fields(fields: Fields) -> MeterReply:
+    pairs = _decode_pairs(fields.record('allowances'))
+    allowances = {
+        workspace: Allowance(fleet_per_s, allowed_per_s)
+        for workspace, fleet_per_s, allowed_per_s in pairs
+    }
+    is_granting = fields.boolean('granting', default=False)
+    return MeterReply(is_granting, allowances)
+
+
+def _decode_pairs(record: Fields) -> Iterator[tuple[str, float, float]]:
+    for workspace in record.names():
+        numbers = record.numbers(workspace)
+        if len(numbers) != 2 or max(map(abs, numbers)) > MAX_PER_S:
+            raise FieldFault(
+                'pair', f'must be two numbers within {MAX_PER_S:.0f}'
+            )
+        yield workspace, *numbers
--- a/tests/unit/test_demand_wire.py
+++ b/tests/unit/test_demand_wire.py
@@ -1,6 +1,7 @@
 """Messages between daemons and the meter of the rates."""
 
 import testtools
+from hypothesis import given, settings
 
 from dragonflyknot.decisions.demand import (
     Allowance,
@@ -8,6 +9,10 @@
     WorkspaceDemand,
 )
 from dragonflyknot.peers import demandwire
+from hostilejson import NESTED, strange_texts
+
+LARGE = b'1' + b'0' * 400
+USUAL = ('h', 'w', 1.5, [1.5, 2], {'w': [1.5, 2]}, True)
 
 
 class DemandWireTest(testtools.TestCase):
@@ -41,3 +46,30 @@
         ):
             reply = demandwire.decode_meter_reply(content)
             self.assertEqual(MeterReply(), reply, str(content))
+
+    # Guards against a host that stops to report at what it can't read.
+    def test_numbers_out_of_range(self) -> None:
+        """Read no message that is nested or holds a number out of range."""
+        pairs = (b'[%b,1]' % LARGE, b'[1e400,1]', b'[1,NaN]', b'[1e300,1]')
+        reports = [b'{"host":"h","demand":{"w":%b}}' % pair for pair in pairs]
+        for content in (NESTED, *reports):
+            report = demandwire.decode_report(content)
+            self.assertIsNone(report, str(content[:90]))
+        replies = [
+            b'{"granting":true,"allowances":{"w":%b}}' % pair for pair in pairs
+        ]
+        for content in (NESTED, *replies):
+            reply = demandwire.decode_meter_reply(content)
+            self.assertEqual(MeterReply(), reply, str(content[:90]))
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(
+        strange_texts(('host', 'demand', 'granting', 'allowances', 'w'), USUAL)
+    )
+    def test_any_bytes(self, content: bytes) -> None:
+        """Decode any bytes to a message that encodes again, or to none."""
+        report = demandwire.decode_report(content)
+        if report is not None:
+            demandwire.encode_report(report)
+        reply = demandwire.decode_meter_reply(content)
+        demandwire.encode_meter_reply(reply)
