Refuse durations and settings that are infinite or nested too deeply

What callers saw: a settings file that is nested deeply ends the daemon at its start with a traceback, and at SIGHUP with an error of the event loop; an infinite `retry_window` does so by round(). A configuration could set an infinite idle time.

Cause: read_settings caught no RecursionError; parse_duration_s turned 400 digits into infinity; float() takes `nan` and `inf`.

Change: a duration is at most a year, a bound is finite, and a nested file is an error message. Property tests of configurations, heartbeats and deregistrations: any bytes are a value or an error message.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -5,6 +5,7 @@
 from tempfile import TemporaryDirectory
 
 import testtools
+from hypothesis import given, settings
 from result import Err, Ok
 
 from adapter.announcements import decode_deregistration, decode_heartbeat
@@ -13,6 +14,7 @@
 from adapter.settings import read_settings
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.siteconfig import SiteRoute
+from hostilejson import NESTED, strange_texts
 
 SETTINGS = """
 node_name = "sidecar-a-1"
@@ -91,6 +93,8 @@
     'born': 99,
 }
 
+USUAL = (*CONFIGURATION.values(), ['name', 'rate_per_s'], [['w', 1]], 'r1')
+
 
 class DurationTest(testtools.TestCase):
     """Check durations, which carry their unit."""
@@ -102,6 +106,13 @@
         for text in ('15', '', '5m', '-1s', 'NaNs'):
             self.assertRaises(ValueError, parse_duration_s, text)
 
+    # Guards against infinite times, which end a process when they are rounded.
+    def test_bounds(self) -> None:
+        """Parse up to a year; reject more, also if it is infinite."""
+        self.assertEqual(31_536_000, parse_duration_s('31536000s'))
+        for text in ('31536001s', '9' * 400 + 's', '9' * 5000 + 'ms'):
+            self.assertRaises(ValueError, parse_duration_s, text)
+
 
 class SettingsTest(testtools.TestCase):
     """Check that settings are validated and unknown fields ignored."""
@@ -133,6 +144,10 @@
             (SETTINGS.replace('ip = "127.0.0.1"', ''), 'ip'),
             (SETTINGS.replace('grace=6s', 'grace=6'), 'not a duration'),
             ('node_name = ', 'boot.toml'),
+            (f'a = {"[" * 100_000}', 'nested'),
+            (SETTINGS.replace('grace=6s', f'grace={"9" * 400}s'), 'duration'),
+            (SETTINGS.replace('ratio=0.25', 'ratio=nan'), 'ratio'),
+            (SETTINGS.replace('slack=48', 'slack=inf'), 'slack'),
         ):
             self.path.write_text(text)
             fault = read_settings(self.path).unwrap_err()
@@ -174,6 +189,29 @@
         ):
             self.assertTrue(decode_configuration(content).is_err())
 
+    # Guards against a follower that ends at a configuration it can't read.
+    def test_numbers_out_of_range(self) -> None:
+        """Reject a configuration with a number that can't be used."""
+        for rate in (10**400, float('inf'), float('nan')):
+            tenants = {'columns': ['name', 'rate_per_s'], 'rows': [['w', rate]]}
+            content = json.dumps({**CONFIGURATION, 'tenants': tenants})
+            fault = decode_configuration(content.encode()).unwrap_err()
+            self.assertIn('rate_per_s', fault)
+        self.assertTrue(decode_configuration(NESTED).is_err())
+
+    # Guards against a follower that ends at a time that is out of range.
+    def test_durations_out_of_range(self) -> None:
+        """Reject a duration that is too long to be counted."""
+        limits = {'idle_timeout': '9' * 400 + 's'}
+        content = json.dumps({**CONFIGURATION, 'limits': limits}).encode()
+        self.assertTrue(decode_configuration(content).is_err())
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(strange_texts((*CONFIGURATION, 'columns', 'rows'), USUAL))
+    def test_any_bytes(self, content: bytes) -> None:
+        """Decode any bytes, or return an error message."""
+        self.assertIsInstance(decode_configuration(content), (Ok, Err))
+
 
 class AnnouncementTest(testtools.TestCase):
     """Check heartbeats and deregistrations of any implementation."""
@@ -211,7 +249,15 @@
     def test_deregistrations(self) -> None:
         """Decode the start time if it is sent."""
         self.assertEqual(7, decode_deregistration('i', b'{"born":7}').born)
-        self.assertEqual(0, decode_deregistration('i', b'').born)
+        for malformed in (b'', NESTED, b'{"born":1e400}', b'{"born":true}'):
+            self.assertEqual(0, decode_deregistration('i', malformed).born)
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(strange_texts(HEARTBEAT, HEARTBEAT.values()))
+    def test_any_bytes(self, content: bytes) -> None:
+        """Decode any bytes, or return an error message."""
+        self.assertIsInstance(decode_heartbeat('i', content), (Ok, Err))
+        self.assertEqual('i', decode_deregistration('i', content).instance)
 
 
 def _decoded_fields(route: SiteRoute) -> tuple[bool, float, int]:
