--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -7,6 +7,7 @@
 
 from adapter.storeclient import StoreClient
 from asyncrun import run_async
+from dragonflyknot.exchange.jsonfields import MAX_JSON_BYTES
 from dragonflyknot.exchange.serverlink import Request, serving
 from dragonflyknot.stores.rowstore import HistoryLost, RowName, StoreOut
 from hostilejson import NESTED
@@ -151,6 +152,29 @@
 
         run_async(body())
 
+    # Guards against followers that end at rows too large for one buffer.
+    def test_page_of_large_rows(self) -> None:
+        """Read a page that holds large rows of another writer."""
+
+        async def body() -> None:
+            store = RowStandIn()
+            async with standing_in(store) as address:
+                client = StoreClient(address)
+                large = b'x' * 400_000
+                for key in ('a', 'b'):
+                    store.write('hosts', key, large)
+                snapshot = await client.read('hosts')
+                contents = [row.content for row in snapshot.rows]
+                self.assertEqual([large, large], contents)
+                client.close()
+
+        run_async(body())
+
+    # Guards against an answer that takes all the memory of a host.
+    def test_endless_answer(self) -> None:
+        """Raise StoreOut at an answer longer than any page."""
+        self._assert_store_out(b' ' * (MAX_JSON_BYTES + 1))
+
     def _assert_store_out(self, answer: bytes) -> None:
         async def body() -> None:
             async with _answering(answer) as client:
