Leave out addresses that nobody can connect to

What callers saw: one entry with port 99999 ended the gossip, and with it the task group, of each host that picked it as a peer; an address without a port did the same by int(). A settings file with such an address ended the daemon with a traceback instead of a message.

Cause: addresses were taken as they were. connect() raises OverflowError for such a port, and LinkPool.acquire turned only OSError into LinkLost.

As a second line, LinkPool.acquire raises LinkLost for any address that it can't connect to.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -25,6 +25,8 @@
 # share of the time for which that link had been idle.
 IDLE_TIMEOUT_BACKOFF_RATIO: Final = 0.6
 IDLE_TIMEOUT_BACKOFF_S: Final = 20.0
+# The last two are about an address that nobody can connect to.
+_CONNECT_ERRORS: Final = (OSError, TimeoutError, OverflowError, ValueError)
 
 
 class LinkLost(Exception):
@@ -339,7 +341,7 @@
                     self.host,
                     self.port,
                 )
-        except (OSError, TimeoutError) as error:
+        except _CONNECT_ERRORS as error:
             raise LinkLost(was_sent=False) from error
         return link
 
--- a/packages/exchange/src/dragonflyknot/exchange/jsonfields.py
+++ b/packages/exchange/src/dragonflyknot/exchange/jsonfields.py
@@ -14,6 +14,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final, Self
 
+from dragonflyknot.exchange.addresses import is_address
+
 MAX_JSON_BYTES: Final = 8 * 1024 * 1024
 MAX_JSON_DEPTH: Final = 32
 MAX_INTEGER_CHARS: Final = 19
@@ -75,6 +77,13 @@
             raise self._fault(name, 'must be a number')
         return float(value)
 
+    def address(self, name: str) -> str:
+        """Return an IPv4 address and a port. Raise FieldFault."""
+        value = self.string(name)
+        if not is_address(value):
+            raise self._fault(name, 'must be an IPv4 address and a port')
+        return value
+
     def boolean(self, name: str, *, default: bool) -> bool:
         """Return a boolean. Raise FieldFault."""
         value = self._record.get(name, default)
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -125,7 +125,7 @@
 def _decode_entry_fields(fields: Fields) -> SiteEntry:
     place = Place(
         host=fields.string('host'),
-        address=fields.string('address'),
+        address=fields.address('address'),
         data_center=fields.string('data_center'),
         region=fields.string('region'),
         service=fields.string('service'),
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -147,6 +147,11 @@
             (f'a = {"[" * 100_000}', 'nested'),
             (SETTINGS.replace('grace=6s', f'grace={"9" * 400}s'), 'duration'),
             (SETTINGS.replace('ratio=0.25', 'ratio=nan'), 'ratio'),
+            (SETTINGS.replace('[7000,7015]', '[true,7015]'), 'port_range'),
+            (SETTINGS.replace('[7000,7015]', '[70000,70015]'), 'port_range'),
+            (SETTINGS.replace('127.0.0.1:1"', '127.0.0.1:99999"'), 'inbound'),
+            (SETTINGS.replace('127.0.0.1:5"', '127.0.0.1"'), 'address'),
+            (SETTINGS.replace('ip = "127.0.0.1"', 'ip = "h"'), 'ip'),
             (SETTINGS.replace('slack=48', 'slack=inf'), 'slack'),
         ):
             self.path.write_text(text)
@@ -238,6 +243,8 @@
             {'slots': -1},
             {'state': 'thinking'},
             {'service': None},
+            {'address': '10.0.0.1:99999'},
+            {'address': '10.0.0.1'},
             {'sequence': 1.5},
             {'born': 'yesterday'},
         ):
--- a/tests/platform/test_link_pool.py
+++ b/tests/platform/test_link_pool.py
@@ -84,3 +84,26 @@
                     self.fail('The link was not lost.')
 
         run_async(body())
+
+
+class OddAddressTest(testtools.TestCase):
+    """An address that nobody can connect to is a lost link."""
+
+    # Guards against callers that end by an error other than LinkLost.
+    def test_address_out_of_range(self) -> None:
+        """Raise LinkLost, as for a host that does not answer."""
+
+        async def body() -> None:
+            for host, port in (
+                ('127.0.0.1', 99999),
+                ('127.0.0.1', -1),
+                ('127.0.0.1', 10**30),
+                ('a' * 64, 1),
+                ('\ud800', 1),
+                ('127.0.0.1\0', 1),
+            ):
+                pool = LinkPool(host, port, idle_s=8, user_timeout_ms=1000)
+                with testtools.ExpectedException(LinkLost):
+                    await pool.acquire()
+
+        run_async(body())
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -49,6 +49,12 @@
         """Go on after a row with a number beyond all ranges."""
         self._assert_followed(entry_with('odd', 'slots', TOO_LARGE))
 
+    # Guards against gossip that ends when it connects to such a port.
+    def test_port_out_of_range(self) -> None:
+        """Go on after a row whose address nobody can connect to."""
+        for address in ('127.0.0.1:99999', '127.0.0.1', ''):
+            self._assert_followed(entry('odd', address=address))
+
     def _assert_followed(self, row: bytes) -> None:
         async def body() -> None:
             async with SiteFleet(2) as fleet:
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -73,6 +73,12 @@
         ):
             self._assert_left_out(content)
 
+    # Guards against gossip that ends when it connects to such an address.
+    def test_address_out_of_range(self) -> None:
+        """Leave out an entry whose address nobody can connect to."""
+        for address in ('127.0.0.1:99999', '127.0.0.1', 'h:1', ''):
+            self._assert_left_out(encoded(address=address))
+
     @settings(derandomize=True, deadline=None, database=None)
     @given(strange_texts(ENTRY, USUAL))
     def test_any_bytes(self, content: bytes) -> None:
