Leave out names that can't be encoded or that fit in no header

What callers saw: one entry with half a character (a lone surrogate, which a JSON text can escape) in its host's name ended the gossip of each host: the digest of the view can't be encoded. A name with a line break goes into the headers of a forwarded request.

Cause: texts were taken as they were.

Fault texts name at most 256 characters of a field.

--- a/packages/exchange/src/dragonflyknot/exchange/jsonfields.py
+++ b/packages/exchange/src/dragonflyknot/exchange/jsonfields.py
@@ -19,6 +19,7 @@
 MAX_JSON_BYTES: Final = 8 * 1024 * 1024
 MAX_JSON_DEPTH: Final = 32
 MAX_INTEGER_CHARS: Final = 19
+MAX_NAME_CHARS: Final = 256
 UNUSABLE_NUMBER: Final = object()
 
 
@@ -35,7 +36,7 @@
 
     def __init__(self, name: str, remedy: str) -> None:
         """Build a message of the field name and the remedy."""
-        super().__init__(f'{name}: {remedy}')
+        super().__init__(f'{name[:MAX_NAME_CHARS]}: {remedy}')
 
 
 class Fields:
@@ -49,10 +50,19 @@
         self._name = name
 
     def string(self, name: str, default: str | None = None) -> str:
-        """Return a string. Raise FieldFault."""
+        """Return a string that can be encoded. Raise FieldFault."""
         value = self._record.get(name, default)
-        if not isinstance(value, str):
+        if not _is_text(value):
             raise self._fault(name, 'must be a string')
+        return str(value)
+
+    def name(self, name: str) -> str:
+        """Return a name that fits in a header. Raise FieldFault."""
+        value = self.string(name)
+        if not is_name(value):
+            raise self._fault(
+                name, f'must be at most {MAX_NAME_CHARS} printable characters'
+            )
         return value
 
     def integer(
@@ -94,7 +104,7 @@
     def strings(self, name: str) -> tuple[str, ...]:
         """Return a list of strings, empty if absent. Raise FieldFault."""
         value = self.items(name)
-        if not all(isinstance(element, str) for element in value):
+        if not all(map(_is_text, value)):
             raise self._fault(name, 'must be a list of strings')
         return tuple(value)
 
@@ -117,7 +127,9 @@
         return type(self)(self._record.get(name), f'{self._name}.{name}')
 
     def names(self) -> tuple[str, ...]:
-        """Return the names of all fields."""
+        """Return the names of all fields. Raise FieldFault."""
+        if not all(map(_is_text, self._record)):
+            raise FieldFault(self._name, 'must have names that are texts')
         return tuple(self._record)
 
     def has(self, name: str) -> bool:
@@ -128,6 +140,11 @@
         return FieldFault(f'{self._name}.{name}', remedy)
 
 
+def is_name(text: str) -> bool:
+    """Return whether a text is a name that fits in a header."""
+    return len(text) <= MAX_NAME_CHARS and text.isprintable()
+
+
 def read_json(content: bytes) -> Any:
     """Return the value of a JSON text in UTF-8. Raise MalformedJson."""
     if len(content) > MAX_JSON_BYTES:
@@ -166,6 +183,20 @@
             return ()
 
 
+def _is_text(value: Any) -> bool:
+    """Return whether a value is a text that can be encoded.
+
+    A JSON text can escape half of a character that takes two code units.
+    """
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _is_number(value: Any) -> bool:
     if isinstance(value, bool):
         return False
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -124,17 +124,17 @@
 
 def _decode_entry_fields(fields: Fields) -> SiteEntry:
     place = Place(
-        host=fields.string('host'),
+        host=fields.name('host'),
         address=fields.address('address'),
-        data_center=fields.string('data_center'),
-        region=fields.string('region'),
-        service=fields.string('service'),
+        data_center=fields.name('data_center'),
+        region=fields.name('region'),
+        service=fields.name('service'),
         state=_decode_state(fields),
         slots=fields.integer('slots'),
     )
     return SiteEntry(
         place,
-        fields.string('instance'),
+        fields.name('instance'),
         fields.integer('born'),
         fields.integer('stamp'),
     )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -190,6 +190,10 @@
             b'[]',
             b'{"version":"r1"',
             json.dumps({**CONFIGURATION, 'version': 'x'}).encode(),
+            json.dumps({**CONFIGURATION, 'version': 'r²'}).encode(),
+            json.dumps(CONFIGURATION).replace('k1', '\\ud800').encode(),
+            json.dumps(CONFIGURATION).replace('"/a/"', '"\\udfff"').encode(),
+            json.dumps(CONFIGURATION).replace('"w"', '"a\\r\\nb"').encode(),
             json.dumps(short).encode(),
         ):
             self.assertTrue(decode_configuration(content).is_err())
@@ -243,6 +247,7 @@
             {'slots': -1},
             {'state': 'thinking'},
             {'service': None},
+            {'service': '\ud800'},
             {'address': '10.0.0.1:99999'},
             {'address': '10.0.0.1'},
             {'sequence': 1.5},
@@ -250,6 +255,9 @@
         ):
             content = json.dumps({**HEARTBEAT, **change}).encode()
             self.assertTrue(decode_heartbeat('i-1', content).is_err(), change)
+        content = json.dumps(HEARTBEAT).encode()
+        for instance in ('i\r\nKey: x', 'i' * 257, '\ud800'):
+            self.assertTrue(decode_heartbeat(instance, content).is_err())
         for malformed in (b'', b'\xff\xfe', b'[]'):
             self.assertTrue(decode_heartbeat('i-1', malformed).is_err())
 
--- a/tests/unit/test_json_fields.py
+++ b/tests/unit/test_json_fields.py
@@ -69,3 +69,22 @@
         self.assertRaises(FieldFault, fields.integer, 'a')
         self.assertRaises(FieldFault, fields.number, 'a')
         self.assertRaises(FieldFault, fields.numbers, 'b')
+
+    # Guards against texts that can't be encoded, in headers and in digests.
+    def test_half_characters(self) -> None:
+        """Refuse a text with a lone surrogate, and read its neighbours."""
+        fields = Fields(
+            read_json(rb'{"a":"\ud800","b":"ok","c":["\udfff"]}'), 'r'
+        )
+        self.assertRaises(FieldFault, fields.string, 'a')
+        self.assertRaises(FieldFault, fields.strings, 'c')
+        self.assertEqual('ok', fields.string('b'))
+        self.assertRaises(FieldFault, Fields({'\ud800': 1}, 'r').names)
+
+    def test_names(self) -> None:
+        """Refuse names that are too long or have control characters."""
+        longest = 'n' * jsonfields.MAX_NAME_CHARS
+        fields = Fields({'a': longest, 'b': f'{longest}n', 'c': 'a\r\nb'}, 'r')
+        self.assertEqual(longest, fields.name('a'))
+        self.assertRaises(FieldFault, fields.name, 'b')
+        self.assertRaises(FieldFault, fields.name, 'c')
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -8,7 +8,7 @@
 
 from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.siteview import SiteEntry, Stamps
+from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
 from dragonflyknot.peers import sitewire
 from hostilejson import NESTED, strange_texts
 
@@ -79,6 +79,13 @@
         for address in ('127.0.0.1:99999', '127.0.0.1', 'h:1', ''):
             self._assert_left_out(encoded(address=address))
 
+    # Guards against names that end a host when they are encoded again.
+    def test_unusable_text(self) -> None:
+        """Leave out an entry with half a character or a control character."""
+        for field in ('host', 'data_center', 'region', 'service', 'instance'):
+            for text in ('\ud800', 'a\r\nKey: b', 'a\0', 'a' * 257):
+                self._assert_left_out(encoded(**{field: text}))
+
     @settings(derandomize=True, deadline=None, database=None)
     @given(strange_texts(ENTRY, USUAL))
     def test_any_bytes(self, content: bytes) -> None:
@@ -87,6 +94,9 @@
         if decoded is not None:
             again = sitewire.decode_entry(sitewire.encode_entry(decoded))
             self.assertEqual(decoded, again)
+            view = SiteView('own')
+            view.merge([decoded])
+            self.assertNotEqual('', view.digest())
 
     def _assert_left_out(self, content: bytes) -> None:
         self.assertIsNone(sitewire.decode_entry(content), str(content[:300]))
@@ -121,6 +131,9 @@
             gossip(stamps={'h': 1}, tombstones={'h': 10**400}),
             gossip(stamps=[]),
             gossip(wants=[[]]),
+            gossip(wants=['\ud800']),
+            gossip(stamps={'\ud800': 1}),
+            gossip(digest='\ud800'),
             gossip(entries={'h': ENTRY}),
             b'[]',
         ):
