Bound the stamps, slots and start times that others write

What callers saw: an entry of another writer with stamp 10^300 or 2^63-1 can't be outdone by its host, whose changes nobody takes from then on; slots of 10^30 draw all requests that can be balanced.

Cause: integers were taken as they were.

Change: entries and gossip carry stamps up to MAX_STAMP (10^15): more than clocks in milliseconds and 32-bit numbers, less than clocks in microseconds and the largest integers of writers. Slots lie in 0..100000 (as those that the project's own interface takes), start times and sequences in 0..10^15, versions are not negative.

Not closed: a stamp a few below 10^15 exactly leaves its host only these few changes. Any order with a highest value has this; comparing stamps as serial numbers (they wrap around) would close it.

--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -20,6 +20,12 @@
 
 DIGEST_DIGITS: Final = 16
 MAX_TOMBSTONES: Final = 500
+MAX_STAMP: Final = 10**15
+"""Highest stamp taken from others; their hosts must be able to outdo it.
+
+It is more than clocks in milliseconds and 32-bit numbers, and less than the
+largest integers that writers use, to which no host could add.
+"""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
+++ b/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
@@ -13,6 +13,8 @@
 from dragonflyknot.decisions.calls import UpstreamState
 
 MAX_DEPARTURES: Final = 100
+MAX_BORN_MS: Final = 10**15
+MAX_SEQUENCE: Final = 10**15
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/exchange/src/dragonflyknot/exchange/jsonfields.py
+++ b/packages/exchange/src/dragonflyknot/exchange/jsonfields.py
@@ -71,6 +71,7 @@
         default: int | None = None,
         *,
         minimum: int | None = None,
+        maximum: int | None = None,
     ) -> int:
         """Return an integer. Raise FieldFault."""
         value = self._record.get(name, default)
@@ -78,6 +79,8 @@
             raise self._fault(name, 'must be an integer')
         if minimum is not None and value < minimum:
             raise self._fault(name, f'must be at least {minimum}')
+        if maximum is not None and value > maximum:
+            raise self._fault(name, f'must be at most {maximum}')
         return value
 
     def number(self, name: str, default: float | None = None) -> float:
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -16,9 +16,10 @@
 
 import structlog
 
-from dragonflyknot.decisions.balancer import Place
+from dragonflyknot.decisions.balancer import MAX_SLOTS, Place
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.siteview import SiteEntry, Stamps
+from dragonflyknot.decisions.siteview import MAX_STAMP, SiteEntry, Stamps
+from dragonflyknot.decisions.upstreamstate import MAX_BORN_MS
 from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
 
 GOSSIP_PATH: Final = '/.dragonflyknot/gossip'
@@ -87,7 +88,7 @@
 
 def _decode_gossip_fields(fields: Fields) -> SiteGossip:
     return SiteGossip(
-        fields.integer('version'),
+        fields.integer('version', minimum=0),
         fields.string('digest'),
         tuple(_decode_entries(fields.items('entries'))),
         fields.strings('wants'),
@@ -103,7 +104,11 @@
 
 
 def _decode_stamps_by_host(fields: Fields) -> dict[str, int]:
-    return {host: fields.integer(host) for host in fields.names()}
+    return {host: _decode_stamp(fields, host) for host in fields.names()}
+
+
+def _decode_stamp(fields: Fields, name: str) -> int:
+    return fields.integer(name, minimum=0, maximum=MAX_STAMP)
 
 
 def _encode_entry_fields(entry: SiteEntry) -> dict[str, Any]:
@@ -130,13 +135,13 @@
         region=fields.name('region'),
         service=fields.name('service'),
         state=_decode_state(fields),
-        slots=fields.integer('slots'),
+        slots=fields.integer('slots', minimum=0, maximum=MAX_SLOTS),
     )
     return SiteEntry(
         place,
         fields.name('instance'),
-        fields.integer('born'),
-        fields.integer('stamp'),
+        fields.integer('born', minimum=0, maximum=MAX_BORN_MS),
+        _decode_stamp(fields, 'stamp'),
     )
 
 
--- a/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
@@ -8,12 +8,13 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
+from dragonflyknot.decisions.balancer import MAX_SLOTS
 from dragonflyknot.decisions.calls import UpstreamState
 
 ANNOUNCEMENT_TTL_S = 3.0
 
 _Service = Annotated[str, Field(min_length=1, max_length=64)]
-_Slots = Annotated[int, Field(ge=0, le=100_000)]
+_Slots = Annotated[int, Field(ge=0, le=MAX_SLOTS)]
 _Address = Annotated[str, Field(pattern=r'^[0-9A-Fa-f.:\[\]]+:\d{1,5}$')]
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -245,6 +245,11 @@
         for change in (
             {'slots': 'ten'},
             {'slots': -1},
+            {'slots': 100_001},
+            {'sequence': -1},
+            {'sequence': 10**16},
+            {'born': -1},
+            {'born': 10**16},
             {'state': 'thinking'},
             {'service': None},
             {'service': '\ud800'},
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -6,9 +6,15 @@
 import testtools
 from hypothesis import given, settings
 
-from dragonflyknot.decisions.balancer import Place
+from dragonflyknot.decisions.balancer import MAX_SLOTS, Place
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
+from dragonflyknot.decisions.siteview import (
+    MAX_STAMP,
+    SiteEntry,
+    SiteView,
+    Stamps,
+)
+from dragonflyknot.decisions.upstreamstate import MAX_BORN_MS
 from dragonflyknot.peers import sitewire
 from hostilejson import NESTED, strange_texts
 
@@ -86,6 +92,34 @@
             for text in ('\ud800', 'a\r\nKey: b', 'a\0', 'a' * 257):
                 self._assert_left_out(encoded(**{field: text}))
 
+    # Guards against a stamp that the host itself can't outdo.
+    def test_numbers_out_of_range(self) -> None:
+        """Leave out stamps, slots and start times beyond their ranges."""
+        for field, largest in (
+            ('slots', MAX_SLOTS),
+            ('stamp', MAX_STAMP),
+            ('born', MAX_BORN_MS),
+        ):
+            content = encoded(**{field: largest})
+            self.assertIsNotNone(sitewire.decode_entry(content), field)
+            for number in (-1, largest + 1, 2**53 - 1, 2**63 - 1, 10**30):
+                self._assert_left_out(encoded(**{field: number}))
+
+    def test_largest_likely_stamp_is_outdone(self) -> None:
+        """Take the next stamps of a host after one of another writer."""
+        for odd in (2**32 - 1, 1_800_000_000_000):
+            owner, other = SiteView('h'), SiteView('x')
+            owner.publish(entry())
+            row = sitewire.decode_entry(encoded(stamp=odd, slots=7))
+            assert row is not None
+            for view in (owner, other):
+                view.merge([row])
+            for _change in range(1000):
+                again = owner.publish(entry())
+                sent = sitewire.decode_entry(sitewire.encode_entry(again))
+                assert sent is not None
+                self.assertEqual([again], other.merge([sent]))
+
     @settings(derandomize=True, deadline=None, database=None)
     @given(strange_texts(ENTRY, USUAL))
     def test_any_bytes(self, content: bytes) -> None:
@@ -129,6 +163,9 @@
             gossip(version=10**400),
             gossip(stamps={'h': float('inf')}),
             gossip(stamps={'h': 1}, tombstones={'h': 10**400}),
+            gossip(stamps={'h': 1}, tombstones={'h': MAX_STAMP + 1}),
+            gossip(stamps={'h': MAX_STAMP + 1}),
+            gossip(version=-1),
             gossip(stamps=[]),
             gossip(wants=[[]]),
             gossip(wants=['\ud800']),
