Refuse headers between hosts with numbers or names out of range

What callers saw: an attempt whose header holds a number of 400 digits ended its request by an OverflowError and the connection with it, unanswered. A report of 10^400 slots was taken, and a name with a line break went into the headers for the upstream.

Cause: int() of any length, a quotient that raises, names as they were.

Change: numbers of an attempt lie within 10^15, counts of a report from 0 to that and slots up to MAX_SLOTS; names fit in a header (checked where they are unquoted, which is cached).

Evidence, on the commit before (tests/unit/test_hop_heads.py):

HopHeadsTest.test_numbers_out_of_range: False is not true : (4, ...) HopHeadsTest.test_names_with_control_characters: False is not true hop big RAISES OverflowError integer division result too large for a float

(the last line is of a probe). After: all tests of the file pass. Decoding one header took 6.4 us after and 5.2 us before, the least of five runs of 100,000 beside other processes (a trial).

--- a/packages/exchange/src/dragonflyknot/exchange/hopheaders.py
+++ b/packages/exchange/src/dragonflyknot/exchange/hopheaders.py
@@ -12,15 +12,18 @@
 
 from result import Err, Ok, Result
 
-from dragonflyknot.decisions.balancer import Load
+from dragonflyknot.decisions.balancer import MAX_SLOTS, Load
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.siteconfig import HIGHEST_CALL_PRIORITY
+from dragonflyknot.exchange.jsonfields import is_name
 
 MS_PER_SECOND: Final = 1000
 _CACHE_SIZE: Final = 4096
 _MIN_LOAD_FIELDS: Final = 5
 _MIN_HOP_FIELDS: Final = 9
+# Milliseconds, counts and versions; quotients and sums stay exact floats.
+_MAX_NUMBER: Final = 10**15
 _IS_RETRY_FIELD: Final = slice(9, 10)
 _MAKES_CALLS_FIELD: Final = slice(5, 6)
 _FALSE: Final = b'0'
@@ -86,14 +89,17 @@
         return Err('the attempt header is short; run one version everywhere')
     try:
         numbers = [int(field) for field in fields[4:_MIN_HOP_FIELDS]]
+        service, workspace, caller, route = map(_unquote_name, fields[:4])
     except ValueError:
-        return Err('a number in the attempt header is malformed')
+        return Err('a name or number in the attempt header is malformed')
+    if max(numbers) > _MAX_NUMBER or min(numbers) < -_MAX_NUMBER:
+        return Err('a number in the attempt header is out of range')
     return Ok(
         Hop(
-            service=_unquote_name(fields[0]),
-            workspace=_unquote_name(fields[1]),
-            caller=_unquote_name(fields[2]),
-            route=_unquote_name(fields[3]),
+            service=service,
+            workspace=workspace,
+            caller=caller,
+            route=route,
             priority=max(0, min(HIGHEST_CALL_PRIORITY, numbers[0])),
             left_s=numbers[1] / MS_PER_SECOND,
             target_left_s=numbers[2] / MS_PER_SECOND,
@@ -133,6 +139,8 @@
     except ValueError:
         return None
     slots, running, waiting, version = numbers
+    if min(numbers) < 0 or max(numbers) > _MAX_NUMBER or slots > MAX_SLOTS:
+        return None
     makes_calls = fields[_MAKES_CALLS_FIELD] != [_FALSE]
     return GateReport(
         Load(state, slots, running, waiting, makes_calls), version
@@ -167,4 +175,8 @@
 
 @lru_cache(_CACHE_SIZE)
 def _unquote_name(quoted: bytes) -> str:
-    return unquote(quoted.decode('ascii', 'replace'))
+    """Return a name. Raise ValueError if it fits in no header."""
+    name = unquote(quoted.decode('ascii', 'replace'))
+    if not is_name(name):
+        raise ValueError('a name is too long or has control characters')
+    return name
--- a/tests/unit/test_hop_heads.py
+++ b/tests/unit/test_hop_heads.py
@@ -1,6 +1,9 @@
 """Tests of the headers that daemons attach to a forwarded request."""
 
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
 
 from dragonflyknot.decisions.balancer import Load
 from dragonflyknot.decisions.calls import UpstreamState
@@ -68,6 +71,51 @@
         ):
             self.assertIsNone(hopheaders.decode_gate_report(load))
 
+    # Guards against an attempt that ends by an OverflowError, unanswered.
+    def test_numbers_out_of_range(self) -> None:
+        """Reject headers with numbers beyond their range."""
+        large = b'1' + b'0' * 400
+        for number in (large, b'-' + large, b'9' * 16, b'1' * 5000):
+            for place in range(4, 9):
+                fields = [b's', b'w', b'c', b'r', b'7', b'1', b'1', b'1', b'1']
+                fields[place] = number
+                hop = hopheaders.decode_hop(b','.join(fields))
+                self.assertTrue(hop.is_err(), (place, number[:20]))
+            for place in range(1, 5):
+                fields = [b'ready', b'1', b'1', b'1', b'1']
+                fields[place] = number
+                report = hopheaders.decode_gate_report(b','.join(fields))
+                self.assertIsNone(report, (place, number[:20]))
+        for load in (b'ready,-1,1,1,1', b'ready,100001,1,1,1'):
+            self.assertIsNone(hopheaders.decode_gate_report(load))
+
+    # Guards against names that add headers to a request.
+    def test_names_with_control_characters(self) -> None:
+        """Reject names that fit in no header."""
+        for name in (b'a%0D%0AKey:x', b'%00', b'a' * 257):
+            text = b's,%b,c,r,7,1500,250,1,12' % name
+            self.assertTrue(hopheaders.decode_hop(text).is_err())
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(
+        st.binary()
+        | st.lists(
+            st.integers().map(lambda number: b'%d' % number)
+            | st.sampled_from((b'ready', b's', b'', b'%', b'%ED%A0%80'))
+            | st.binary(max_size=4),
+            max_size=12,
+        ).map(b','.join)
+    )
+    def test_any_bytes(self, text: bytes) -> None:
+        """Decode any bytes to what encodes again, or to an error."""
+        match hopheaders.decode_hop(text):
+            case Ok(hop):
+                hopheaders.encode_hop(hop)
+        report = hopheaders.decode_gate_report(text)
+        if report is not None:
+            hopheaders.encode_gate_report(report)
+        hopheaders.decode_refusal(text)
+
 
 class ForwardedHeadersTest(testtools.TestCase):
     """Hop-by-hop headers are not forwarded."""
