--- a/tests/unit/test_hop_heads.py
+++ b/tests/unit/test_hop_heads.py
@@ -85,7 +85,7 @@
                 fields = [b'ready', b'1', b'1', b'1', b'1']
                 fields[place] = number
                 report = hopheaders.decode_gate_report(b','.join(fields))
-                self.assertIsNone(report, (place, number[:20]))
+                self.assertIsNone(report, str((place, number[:20])))
         for load in (b'ready,-1,1,1,1', b'ready,100001,1,1,1'):
             self.assertIsNone(hopheaders.decode_gate_report(load))
 
