Start a loop again that an unforeseen error has ended

What callers saw: after any error that nobody foresaw, in any loop of the members or of the configuration, the whole task group of a host ended; it served on by what it knew and never learnt of a change again. Only a line `task_failed` told of it.

Cause: Tasks logs an error and starts nothing again, and a task group cancels the loops beside the one that failed.

Change: keep_running starts each loop again by itself, after 1 s, with the line `task_restarted` and its traceback, so at most one line a second a loop.

Evidence, on the commit before (FollowerTest.test_unforeseen_error, the later row did not arrive in 20 s):

ArithmeticError [error ] task_failed TimeoutError

After: it passes.

--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -20,7 +20,7 @@
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.siterates import SiteRates
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
-from dragonflyknot.daemon.tasks import Tasks
+from dragonflyknot.daemon.tasks import Tasks, keep_running
 from dragonflyknot.decisions.balancer import Balancer, Load
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.siteconfig import SiteConfiguration
@@ -96,9 +96,9 @@
             for work in (
                 self.policy.run(),
                 self.members.run(),
-                self.rates.run(),
+                keep_running(self.rates.run),
                 self._restore(),
-                self._trim(),
+                keep_running(self._trim),
             ):
                 tasks.start(work)
             self._stack = stack.pop_all()
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -20,6 +20,7 @@
 from dragonflyknot.daemon.follower import TableFollower
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
+from dragonflyknot.daemon.tasks import keep_running
 from dragonflyknot.decisions import followers
 from dragonflyknot.decisions.balancer import Balancer, Place
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
@@ -149,11 +150,11 @@
     async def run(self) -> None:
         """Keep up until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follower.run())
-            group.create_task(self._gossip_on())
-            group.create_task(self._push_on())
-            group.create_task(self._write_on())
-            group.create_task(self._reap_on())
+            group.create_task(keep_running(self._follower.run))
+            group.create_task(keep_running(self._gossip_on))
+            group.create_task(keep_running(self._push_on))
+            group.create_task(keep_running(self._write_on))
+            group.create_task(keep_running(self._reap_on))
 
     def _follows(self) -> bool:
         settings = self._settings
--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -17,6 +17,7 @@
 
 from dragonflyknot.daemon.follower import TableFollower
 from dragonflyknot.daemon.sitesettings import SitePlatform
+from dragonflyknot.daemon.tasks import keep_running
 from dragonflyknot.decisions.siteconfig import SiteConfiguration, SiteRoutes
 from dragonflyknot.exchange.clientlink import LinkLost
 from dragonflyknot.peers import sitewire
@@ -97,8 +98,8 @@
     async def run(self) -> None:
         """Keep up until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follower.run())
-            group.create_task(self._catch_up())
+            group.create_task(keep_running(self._follower.run))
+            group.create_task(keep_running(self._catch_up))
 
     def take(self, content: bytes) -> bool:
         """Install a configuration unless it is older; return whether."""
--- a/packages/daemon/src/dragonflyknot/daemon/tasks.py
+++ b/packages/daemon/src/dragonflyknot/daemon/tasks.py
@@ -1,11 +1,13 @@
 """Run background tasks that end with their owner."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
+from typing import Final
 
 import structlog
 
+RESTART_PAUSE_S: Final = 1.0
 _log = structlog.get_logger(__name__)
 
 
@@ -44,3 +46,15 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             _log.error('task_failed', exc_info=task.exception())
+
+
+async def keep_running(
+    work: Callable[[], Coroutine[object, object, None]],
+) -> None:
+    """Run a loop until cancelled; start it again after an unforeseen error."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            _log.exception('task_restarted', task=work.__qualname__)
+        await asyncio.sleep(RESTART_PAUSE_S)
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -2,11 +2,13 @@
 
 import json
 from typing import Any
+from unittest import mock
 
 import testtools
 
 from asyncrun import run_async
 from dragonflyknot.exchange.serverlink import Request, serving
+from dragonflyknot.peers import sitewire
 from harness.addresses import free_port
 from sitefleet import SiteFleet
 
@@ -76,6 +78,26 @@
         run_async(body())
 
 
+class FollowerTest(testtools.TestCase):
+    """What a listener raises ends no follower, and gossip goes on."""
+
+    # Guards against one unforeseen error that ends all loops of a host.
+    def test_unforeseen_error(self) -> None:
+        """Read the table again after an error that nobody foresaw."""
+
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                with mock.patch.object(
+                    sitewire, 'decode_entry', side_effect=ArithmeticError
+                ) as decode:
+                    fleet.store.write('hosts', 'odd', entry('odd'))
+                    await fleet.until(lambda: decode.call_count > 2)
+                fleet.store.write('hosts', 'late', entry('late'))
+                await fleet.until(lambda: _all_know(fleet, 'late'))
+
+        run_async(body())
+
+
 class OddPeerTest(testtools.TestCase):
     """A peer that answers what can't be read ends no gossip."""
 
