Write a host's own row again after another writer has spoilt it

What callers saw: a host's row that another writer replaces by one that can't be read stays so until the host's upstream changes; a process that starts meanwhile learns of the host by gossip only.

Cause: a row that can't be read was left out, the own row too.

Change: the host writes its row again, unless the row is what it wrote itself (so that two reads of what it can't read never make it write on and on). Names in the settings file must be such that peers take them.

--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -192,6 +192,7 @@
             return None
         entry = sitewire.decode_entry(row.content)
         if entry is None or entry.place.host != row.key:
+            self._restore_row(row.key, row.content)
             return None
         self._versions_by_host[row.key] = row.version
         if row.key == self._settings.host and self.view.own is None:
@@ -200,6 +201,17 @@
             )
         return entry
 
+    def _restore_row(self, host: str, content: bytes) -> None:
+        """Write the own row again if another writer has spoilt it."""
+        own = self.view.own
+        if host != self._settings.host or own is None:
+            return
+        if content == sitewire.encode_entry(own):
+            return
+        if self._written is not None and self._written.done():
+            self._written = None
+        self._write_soon()
+
     def _removed(self, host: str) -> None:
         self._versions_by_host.pop(host, None)
         own = self.view.own
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -149,6 +149,7 @@
             (SETTINGS.replace('ratio=0.25', 'ratio=nan'), 'ratio'),
             (SETTINGS.replace('[7000,7015]', '[true,7015]'), 'port_range'),
             (SETTINGS.replace('[7000,7015]', '[70000,70015]'), 'port_range'),
+            (SETTINGS.replace('"sidecar-a-1"', '"a\\r"'), 'node_name'),
             (SETTINGS.replace('127.0.0.1:1"', '127.0.0.1:99999"'), 'inbound'),
             (SETTINGS.replace('127.0.0.1:5"', '127.0.0.1"'), 'address'),
             (SETTINGS.replace('ip = "127.0.0.1"', 'ip = "h"'), 'ip'),
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -78,6 +78,25 @@
         run_async(body())
 
 
+class OwnRowTest(testtools.TestCase):
+    """A host's own row that another writer spoilt is written again."""
+
+    # Guards against a host that no new process can read about.
+    def test_spoilt_row(self) -> None:
+        """Write the row once more, with the host's own state."""
+
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                await fleet.until(
+                    lambda: ('hosts', 'host-0') in fleet.store.rows
+                )
+                for odd in (NESTED, entry('host-0', stamp=2**63 - 1), b''):
+                    fleet.store.write('hosts', 'host-0', odd)
+                    await fleet.until(lambda: _stored(fleet, 'host-0') == 'i-0')
+
+        run_async(body())
+
+
 class FollowerTest(testtools.TestCase):
     """What a listener raises ends no follower, and gossip goes on."""
 
@@ -132,6 +151,13 @@
         run_async(body())
 
 
+def _stored(fleet: SiteFleet, host: str) -> str:
+    """Return the instance that a host's row names, empty if it is spoilt."""
+    content, _version = fleet.store.rows['hosts', host]
+    stored = sitewire.decode_entry(content)
+    return '' if stored is None else stored.instance
+
+
 def _all_know(fleet: SiteFleet, name: str) -> bool:
     return all(name in _known(fleet, n) for n in range(len(fleet.hosts)))
 
