Log what can't be read once, at a limited rate

What operators saw: a line with each read of a row that stays as it is, and a line a request for a malformed header of a peer, so that another writer could fill the log.

Cause: the decoders logged each time.

Change: FaultLog writes each fault once while it remembers it, through the limit of the lines about requests.

--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -190,7 +190,7 @@
         if row.content is None:
             self._removed(row.key)
             return None
-        entry = sitewire.decode_entry(row.content)
+        entry = sitewire.decode_entry(row.content, row.key)
         if entry is None or entry.place.host != row.key:
             self._restore_row(row.key, row.content)
             return None
--- a/packages/exchange/src/dragonflyknot/exchange/telemetry.py
+++ b/packages/exchange/src/dragonflyknot/exchange/telemetry.py
@@ -1,4 +1,4 @@
-"""Rate-limited request logging and latency histograms."""
+"""Rate-limited logging and latency histograms."""
 
 import time
 from bisect import bisect_left
@@ -9,6 +9,7 @@
 
 MAX_LINES_PER_S: Final = 20.0
 MAX_BURST_LINES: Final = 100.0
+MAX_KNOWN_FAULTS: Final = 256
 LATENCY_BUCKETS_S: Final = (
     0.001,
     0.0025,
@@ -48,6 +49,28 @@
         _log.info(event, dropped=self.dropped, **fields)
 
 
+class FaultLog:
+    """Log each fault of what others write once, at a limited rate.
+
+    What can't be read is often read again; one line tells of it.
+    """
+
+    def __init__(self) -> None:
+        """Start without faults."""
+        self._log = RateLimitedLog()
+        self._known: set[tuple[str, ...]] = set()
+
+    def write(self, event: str, **fields: str) -> None:
+        """Log a line unless the same one was logged before."""
+        line = (event, *fields.values())
+        if line in self._known:
+            return
+        if len(self._known) >= MAX_KNOWN_FAULTS:
+            self._known.clear()
+        self._known.add(line)
+        self._log.write(event, **fields)
+
+
 @dataclass(slots=True)
 class Histogram:
     """Count latencies in the buckets of `LATENCY_BUCKETS_S`."""
--- a/packages/peers/src/dragonflyknot/peers/demandwire.py
+++ b/packages/peers/src/dragonflyknot/peers/demandwire.py
@@ -8,19 +8,18 @@
 from dataclasses import dataclass
 from typing import Final
 
-import structlog
-
 from dragonflyknot.decisions.demand import (
     Allowance,
     MeterReply,
     WorkspaceDemand,
 )
 from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
+from dragonflyknot.exchange.telemetry import FaultLog
 
 DEMAND_PATH: Final = '/.dragonflyknot/demand'
 MAX_PER_S: Final = 1e9
 """Highest rate and count of a message; sums over all hosts stay finite."""
-_log = structlog.get_logger(__name__)
+_faults = FaultLog()
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +47,7 @@
     try:
         return _decode_report_fields(Fields(read_json(content), 'report'))
     except ValueError as error:
-        _log.warning('report_malformed', fault=str(error))
+        _faults.write('report_malformed', fault=str(error))
         return None
 
 
@@ -72,7 +71,7 @@
     try:
         return _decode_reply_fields(Fields(read_json(content), 'reply'))
     except ValueError as error:
-        _log.warning('meter_reply_malformed', fault=str(error))
+        _faults.write('meter_reply_malformed', fault=str(error))
         return MeterReply()
 
 
--- a/packages/peers/src/dragonflyknot/peers/sitelinks.py
+++ b/packages/peers/src/dragonflyknot/peers/sitelinks.py
@@ -10,7 +10,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, Protocol
 
-import structlog
 from result import Err, Ok
 
 from dragonflyknot.decisions.balancer import Balancer, Candidate, Load
@@ -31,6 +30,7 @@
     OutgoingRequest,
 )
 from dragonflyknot.exchange.serverlink import Request, relay
+from dragonflyknot.exchange.telemetry import FaultLog
 
 LINK_IDLE_TIMEOUT_S: Final = 30.0
 TCP_USER_TIMEOUT_MS: Final = 1500
@@ -41,7 +41,7 @@
 _HOP_HEADERS: Final = frozenset(
     (dialect.HOP, dialect.HOP_LOAD, dialect.HOP_REFUSAL, dialect.HOP_BROKEN)
 )
-_log = structlog.get_logger(__name__)
+_faults = FaultLog()
 
 ControlHandler = Callable[[str, bytes], Awaitable[bytes | None]]
 
@@ -233,7 +233,7 @@
             case Ok(hop):
                 await self._serve_attempt(request, hop)
             case Err(fault):
-                _log.warning('hop_malformed', fault=fault)
+                _faults.write('hop_malformed', fault=fault)
                 request.respond(BAD_REQUEST, (), fault.encode())
 
     async def _serve_control(self, request: Request) -> None:
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -14,20 +14,19 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-import structlog
-
 from dragonflyknot.decisions.balancer import MAX_SLOTS, Place
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.siteview import MAX_STAMP, SiteEntry, Stamps
 from dragonflyknot.decisions.upstreamstate import MAX_BORN_MS
 from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
+from dragonflyknot.exchange.telemetry import FaultLog
 
 GOSSIP_PATH: Final = '/.dragonflyknot/gossip'
 CONFIGURATION_PATH: Final = '/.dragonflyknot/configuration'
 _STATES_BY_VALUE: Final = MappingProxyType(
     {state.value: state for state in UpstreamState}
 )
-_log = structlog.get_logger(__name__)
+_faults = FaultLog()
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,14 +50,17 @@
     ).encode()
 
 
-def decode_entry(content: bytes | None) -> SiteEntry | None:
-    """Decode an entry; return None if absent or malformed."""
+def decode_entry(content: bytes | None, row: str = '') -> SiteEntry | None:
+    """Decode an entry; return None if absent or malformed.
+
+    `row` is the key of its row, for the log.
+    """
     if content is None:
         return None
     try:
         return _decode_entry_fields(Fields(read_json(content), 'entry'))
     except ValueError as error:
-        _log.warning('entry_malformed', fault=str(error))
+        _faults.write('entry_malformed', row=row, fault=str(error))
         return None
 
 
@@ -82,7 +84,7 @@
     try:
         return _decode_gossip_fields(Fields(read_json(content), 'gossip'))
     except ValueError as error:
-        _log.warning('gossip_malformed', fault=str(error))
+        _faults.write('gossip_malformed', fault=str(error))
         return None
 
 
@@ -157,4 +159,4 @@
         try:
             yield _decode_entry_fields(Fields(row, 'entry'))
         except ValueError as error:
-            _log.warning('entry_malformed', fault=str(error))
+            _faults.write('entry_malformed', fault=str(error))
