Refuse ports out of range in the project's own interface too

What callers saw: an upstream that announces port 99999 gets all its requests answered by an error; a call to a peer with such an address raised instead of returning that the peer is unreachable, so that gossip counted it neither way (each call is a task of its own, so no loop ended).

Cause: the pattern of an announcement takes five digits, and ControlClient knew no OverflowError.

Change: announcements check the port; ControlClient returns PeerUnreachable for an address without a port that can be connected to.

--- a/packages/exchange/src/dragonflyknot/exchange/addresses.py
+++ b/packages/exchange/src/dragonflyknot/exchange/addresses.py
@@ -14,16 +14,17 @@
     return 1 <= value <= MAX_PORT
 
 
+def has_port(address: str) -> bool:
+    """Return whether an address ends with a port to connect to."""
+    host, _colon, port = address.rpartition(':')
+    if not host or not port.isascii() or not port.isdecimal():
+        return False
+    return len(port) <= MAX_PORT_DIGITS and is_port(int(port))
+
+
 def is_address(text: str) -> bool:
     """Return whether a text is an IPv4 address and a port: 127.0.0.1:80."""
-    ip, _colon, port = text.rpartition(':')
-    if (
-        not port.isdecimal()
-        or not port.isascii()
-        or len(port) > MAX_PORT_DIGITS
-    ):
-        return False
-    return is_port(int(port)) and _is_ipv4(ip)
+    return has_port(text) and _is_ipv4(text.rpartition(':')[0])
 
 
 def _is_ipv4(text: str) -> bool:
--- a/packages/peers/src/dragonflyknot/peers/controlclient.py
+++ b/packages/peers/src/dragonflyknot/peers/controlclient.py
@@ -19,6 +19,7 @@
 
 from dragonflyknot.decisions import grants, ledger, members, tickets
 from dragonflyknot.decisions.leasemessages import AnswerWitness
+from dragonflyknot.exchange.addresses import has_port
 from dragonflyknot.peers import controlwire, gossipwire
 from dragonflyknot.peers.control import SECRET_METADATA
 from dragonflyknot.peers.controlwire import KeysReport
@@ -236,6 +237,8 @@
         request: Message,
         decode: Callable[[_Answer], _Decoded],
     ) -> Result[_Decoded, ControlError]:
+        if not has_port(address):
+            return Err(PeerUnreachable(address))
         entry = self._entry(address)
         entry.active_calls += 1
         send = method(entry.stub)
--- a/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
@@ -5,17 +5,36 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 from result import Err, Ok, Result
 
 from dragonflyknot.decisions.balancer import MAX_SLOTS
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.exchange.addresses import has_port
 
 ANNOUNCEMENT_TTL_S = 3.0
 
 _Service = Annotated[str, Field(min_length=1, max_length=64)]
 _Slots = Annotated[int, Field(ge=0, le=MAX_SLOTS)]
-_Address = Annotated[str, Field(pattern=r'^[0-9A-Fa-f.:\[\]]+:\d{1,5}$')]
+
+
+def _with_port(address: str) -> str:
+    if not has_port(address):
+        raise ValueError('give a port from 1 to 65535')
+    return address
+
+
+_Address = Annotated[
+    str,
+    Field(pattern=r'^[0-9A-Fa-f.:\[\]]+:\d{1,5}$'),
+    AfterValidator(_with_port),
+]
 
 
 class Announcement(BaseModel):
