Bound the numbers in rows of operators and in headers between gates

What callers saw: a document row or a key head with a number of more than 64 bits, as another writer may leave it, is taken, and the gossip that tells of it raises with each message; a load of 10^400 is taken, by which nobody can divide.

Cause: numbers had no upper bound.

--- a/packages/exchange/src/dragonflyknot/exchange/attemptheaders.py
+++ b/packages/exchange/src/dragonflyknot/exchange/attemptheaders.py
@@ -24,10 +24,11 @@
 MS_PER_SECOND = 1000
 MAX_DEPTH = 64
 LOAD_CACHE_SIZE = 1024
+MAX_COUNT = 2**64 - 1  # Largest value of a uint64 field of gossip.
 
 _Id = Annotated[str, Field(min_length=1, max_length=64)]
 _Name = Annotated[str, Field(max_length=128)]
-_Count = Annotated[int, Field(ge=0)]
+_Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
 _Priority = Annotated[int, Field(ge=0, le=9)]
 _Threshold = Annotated[int, Field(ge=0, le=10)]
 _Depth = Annotated[int, Field(ge=0, le=MAX_DEPTH)]
--- a/packages/stores/src/dragonflyknot/stores/rows.py
+++ b/packages/stores/src/dragonflyknot/stores/rows.py
@@ -18,9 +18,9 @@
 from dataclasses import asdict, dataclass
 from functools import cache
 from hashlib import sha256
-from typing import Any, Final, TypeVar
+from typing import Annotated, Any, Final, TypeVar
 
-from pydantic import TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
 from dragonflyknot.decisions.document import Revision
@@ -29,6 +29,9 @@
 
 SEQUENCE_DIGITS: Final = 20
 KEY_ID_DIGITS: Final = 12
+MAX_NUMBER: Final = 2**63 - 1
+
+_Number = Annotated[int, Field(ge=0, le=MAX_NUMBER)]
 
 _Body = TypeVar('_Body')
 
@@ -41,7 +44,7 @@
     run in the trial.
     """
 
-    number: int
+    number: _Number
     digest: str
     operator: str
     accepted_at: str
@@ -53,14 +56,14 @@
 class KeyHeadBody:
     """Hold the number of the last key change."""
 
-    sequence: int
+    sequence: _Number
 
 
 @dataclass(frozen=True, slots=True)
 class KeyChangeBody:
     """Describe one issue or withdrawal of a key, named by its SHA-256."""
 
-    sequence: int
+    sequence: _Number
     key_hash: str
     workspace: str
     withdrawn: bool
--- a/tests/unit/test_hops.py
+++ b/tests/unit/test_hops.py
@@ -64,6 +64,8 @@
             text.replace('"priority": 3', '"priority": 10'),
             text.replace('"priority": 3', '"priority": "x"'),
             text.replace('"retries": 0', '"retries": -1'),
+            text.replace('"retries": 0', f'"retries": {10**400}'),
+            text.replace('"incarnation": 3', f'"incarnation": {2**64}'),
             text.replace('"left_ms": 2500.0', '"left_ms": NaN'),
             text.replace('"1.r.1"', '""'),
         )
@@ -82,3 +84,11 @@
     def test_garbage_is_nothing(self) -> None:
         for text in (None, '', '{}', '{"state": "odd"}', '[1]'):
             self.assertIsNone(decode_load(text))
+
+    # Guards against loads by which nobody can divide.
+    def test_numbers_out_of_range(self) -> None:
+        text = encode_load(LoadReport(UpstreamState.READY, 9, 8, 7, 6, 5, 4))
+        for name in ('"limit": 9', '"running": 8', '"queued": 7', '"epoch": 4'):
+            large = text.replace(name, f'{name}{"0" * 400}')
+            self.assertNotEqual(text, large)
+            self.assertIsNone(decode_load(large))
