--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -24,6 +24,7 @@
 from dragonflyknot.daemon.follower import TableFollower
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
+from dragonflyknot.daemon.tasks import keep_running
 from dragonflyknot.decisions import followers
 from dragonflyknot.decisions.balancer import Balancer, Place
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
@@ -154,11 +155,11 @@
     async def run(self) -> None:
         """Keep up until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._follower.run())
-            group.create_task(self._gossip_on())
-            group.create_task(self._push_on())
-            group.create_task(self._write_on())
-            group.create_task(self._reap_on())
+            group.create_task(keep_running(self._follower.run))
+            group.create_task(keep_running(self._gossip_on))
+            group.create_task(keep_running(self._push_on))
+            group.create_task(keep_running(self._write_on))
+            group.create_task(keep_running(self._reap_on))
 
     def _follows(self) -> bool:
         settings = self._settings
@@ -200,8 +201,9 @@
         if row.content is None:
             self._removed(row.key)
             return None
-        entry = sitewire.decode_entry(row.content)
+        entry = sitewire.decode_entry(row.content, row.key)
         if entry is None or entry.place.host != row.key:
+            self._restore_row(row.key, row.content)
             return None
         self._versions_by_host[row.key] = row.version
         if row.key == self._settings.host and self.view.own is None:
@@ -225,6 +227,17 @@
             self._written = None
             self._write_soon()
 
+    def _restore_row(self, host: str, content: bytes) -> None:
+        """Write the own row again if another writer has spoilt it."""
+        own = self.view.own
+        if host != self._settings.host or own is None:
+            return
+        if content == sitewire.encode_entry(own):
+            return
+        if self._written is not None and self._written.done():
+            self._written = None
+        self._write_soon()
+
     def _removed(self, host: str, stamp: int = 0) -> None:
         self._versions_by_host.pop(host, None)
         own = self.view.own
