Release the connection of each streamed answer that is not used

Callers see nothing of it; the connections and slots of upstreams are held.

Cause: the hedge released one of the cases, the loser of two successes. Now every answer that is not returned is released, in one place.

Failed before, on: test_streamed_failure_is_released "(500, {'hedge'}) != (500, set())", test_streamed_success_is_released_at_a_cancellation "['hedge'] != []".

--- a/packages/callers/src/dragonflyknot/callers/hedging.py
+++ b/packages/callers/src/dragonflyknot/callers/hedging.py
@@ -38,14 +38,21 @@
         self._timer = AttemptTimer(task, late_after_s, self._start_hedge)
 
     async def run(self, attempt: Awaitable[Outcome]) -> Outcome:
-        """Return the outcome of the attempt or of its hedge."""
+        """Return the outcome of the attempt or of its hedge.
+
+        The connection of a streamed answer that is not returned is released.
+        """
         outcome: Outcome | None = None
+        used: Outcome | None = None
         try:
             with self._timer:
                 outcome = await attempt
-            return await self._settle(outcome)
+            used = await self._settle(outcome)
+            return used
         finally:
-            self._discard_hedge(outcome)
+            for unused in (outcome, self._end_hedge()):
+                if isinstance(unused, Answered) and unused is not used:
+                    unused.free()
 
     def _start_hedge(self) -> None:
         hedge = self._on_late()
@@ -67,14 +74,12 @@
             return hedged
         return outcome
 
-    def _discard_hedge(self, outcome: Outcome | None) -> None:
+    def _end_hedge(self) -> Outcome | None:
+        """Cancel the hedge unless it has ended; return its outcome, if any."""
         hedge = self._hedge
-        if hedge is None:
-            return
-        hedge.cancel()
-        answered = _outcome_of(hedge) if hedge.done() else None
-        if isinstance(answered, Answered) and has_succeeded(outcome):
-            answered.free()
+        if hedge is None or hedge.cancel():
+            return None
+        return _outcome_of(hedge)
 
 
 def has_succeeded(outcome: Outcome | None) -> bool:
--- a/packages/callers/src/dragonflyknot/callers/requestrunner.py
+++ b/packages/callers/src/dragonflyknot/callers/requestrunner.py
@@ -71,6 +71,8 @@
             outcome = await self._send(forwarded, task)
             if not self._rules.should_send_again(forwarded, outcome):
                 return outcome
+            if isinstance(outcome, Answered):
+                outcome.free()
             if forwarded.only_hosts:
                 await asyncio.sleep(self._retry_pause_s())
 
--- a/tests/unit/test_hedging.py
+++ b/tests/unit/test_hedging.py
@@ -137,3 +137,81 @@
             self.assertEqual(['hedge'], released)
 
         run_async(body())
+
+
+class UnusedAnswerTest(testtools.TestCase):
+    """A streamed answer that nobody gets is released."""
+
+    def _race(
+        self, first_status: int, hedge_status: int, *, hedge_first: bool
+    ) -> tuple[int, set[str]]:
+        """Return the status that counts and the answers released."""
+        released: set[str] = set()
+
+        async def attempt(name: str, status: int, delay_s: float) -> Outcome:
+            await asyncio.sleep(delay_s)
+            return Answered(status, [], b'', None, lambda: released.add(name))
+
+        async def body() -> int:
+            task = asyncio.current_task()
+            assert task is not None
+            hedged = HedgedAttempt(
+                task,
+                0,
+                lambda: attempt(
+                    'hedge', hedge_status, 0.02 if hedge_first else 0.06
+                ),
+            )
+            outcome = await hedged.run(attempt('first', first_status, 0.04))
+            assert isinstance(outcome, Answered)
+            return outcome.status
+
+        return run_async(body()), released
+
+    # The connection of a streamed failure was kept when the other attempt
+    # succeeded, or failed as well.
+    def test_streamed_failure_is_released(self) -> None:
+        """Release the answer that is not used."""
+        for hedge_first in (False, True):
+            self.assertEqual(
+                (500, {'hedge'}), self._race(500, 500, hedge_first=hedge_first)
+            )
+        self.assertEqual(
+            (200, {'first'}), self._race(500, 200, hedge_first=False)
+        )
+
+    # The route's timeout came together with the success of the hedge, whose
+    # streamed answer kept its connection.
+    def test_streamed_success_is_released_at_a_cancellation(self) -> None:
+        """Release the answer of the hedge if the caller is gone."""
+        released: list[str] = []
+
+        async def body() -> None:
+            may_end = asyncio.Event()
+
+            async def hedge() -> Outcome:
+                await may_end.wait()
+                return Answered(
+                    200, [], b'', None, lambda: released.append('hedge')
+                )
+
+            async def never() -> Outcome:
+                await asyncio.Event().wait()
+                return SERVED
+
+            async def run() -> Outcome:
+                task = asyncio.current_task()
+                assert task is not None
+                return await HedgedAttempt(task, 0, hedge).run(never())
+
+            racing = asyncio.ensure_future(run())
+            await asyncio.sleep(0.01)
+            may_end.set()
+            # The hedge has ended, but the first attempt has not heard of it.
+            await asyncio.sleep(0)
+            racing.cancel()
+            await asyncio.wait([racing])
+            self.assertTrue(racing.cancelled())
+            self.assertEqual(['hedge'], released)
+
+        run_async(body())
