Run nothing behind the last answer of a connection

Callers who send a second request behind the first one saw the connection close, while the second one ran: an unsafe request ran without an answer, and could run twice if it was sent again.

Cause: a link went on with the requests that it had read after it had announced and begun its close. They are dropped now; they have not been passed on, and the caller was told that the connection closes.

--- a/packages/exchange/src/dragonflyknot/exchange/serverlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverlink.py
@@ -172,6 +172,11 @@
         if self._listener is not None:
             self._listener.close()
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of links whose answers are not yet written."""
+        return sum(link.is_busy for link in self.links)
+
     def abort(self) -> None:
         """Stop listening and abort all links."""
         self.stop_listening()
@@ -242,6 +247,14 @@
         if self._task is None and self._requests:
             self._task = self._loop.create_task(self._run())
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is in progress or an answer unwritten."""
+        if self._task is not None:
+            return True
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     @property
     def serving_task(self) -> 'asyncio.Task[None]':
         """Return the task that serves the request in progress.
@@ -327,6 +340,8 @@
         if request.reader is not EMPTY_PAYLOAD:
             await self._discard(request)
         if not request.is_keep_alive and self.transport is not None:
+            # Requests behind the last answer of a connection must not run.
+            self._requests.clear()
             self.transport.close()
 
     async def _discard(self, request: Request) -> None:
