End a stop when all answers are written and peers know of it

Callers could see the end of a large answer cut off by a planned stop, and a 502 for a request that crossed the end of a gate: 15 of 55 such failures in the roll's log had an attempt that broke within some 0.1 s after the listener of its gate had closed, and none that was cancelled.

Links of peers were closed after each answer from SIGTERM on, so that every attempt had to connect anew.

Change: a stop counts the links whose answers are not yet written; links of peers stay until the gate refuses; then it tells up to 256 peers (record_stopping; others learn by their first refusal), and closes 0.3 s later at the earliest. A call of a running request is admitted while its time ends before the host does, so that none is cut: the callers' excuse covers only what was sent in the first 3 s.

Failed before, on: test_answer_is_relayed_to_its_end "716800 != 715776", test_answer_is_written_whole "512000 != 26541", test_peers_know_before_the_listener_closes "True is not false".

--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -70,9 +70,21 @@
         self._splitter = siteconfig.Splitter()
         self._timeouts: set[_RequestTimeout] = set()
         self.in_flight = 0
-        self.is_refusing = False
+        self._ends_at: float | None = None
         self._is_closed = False
 
+    @property
+    def is_refusing(self) -> bool:
+        """Return whether callers are refused as the host stops."""
+        return self._ends_at is not None
+
+    def stop_admitting(self, ends_at: float) -> None:
+        """Refuse callers; admit calls that end by `ends_at` (monotonic).
+
+        Requests that the upstream still runs need their calls to end well.
+        """
+        self._ends_at = ends_at
+
     def close(self) -> None:
         """Refuse everything; answer what is pending as if it timed out."""
         self._is_closed = True
@@ -147,10 +159,9 @@
             return self._refusal_if_current(
                 Refusal.KEY_UNKNOWN, request_id_text
             )
-        # Requests that the upstream still runs need their calls to end well.
-        if self.is_refusing and not owner.has_running_parent:
-            return self._draining_refusal(request_id_text)
         left_s = min(route.timeout_s, self._caller_left_s(request))
+        if not self._may_end(owner, request.arrived_at + left_s):
+            return self._draining_refusal(request_id_text)
         if not self._is_within_rate(owner):
             retry_after_s = self._retry_after_s(left_s)
             return PlatformRefusal(
@@ -230,6 +241,12 @@
         if workspace:
             self._ports.rates.give_back(workspace, time.monotonic())
 
+    def _may_end(self, owner: _Owner, deadline: float) -> bool:
+        """Return whether a request may end before this host does."""
+        if self._ends_at is None:
+            return True
+        return owner.has_running_parent and deadline <= self._ends_at
+
     def _draining_refusal(self, request_id: str) -> PlatformRefusal:
         """Ask a caller to come back once this host has been restarted."""
         retry_after_s = RESTART_S * (1 + self._ports.rng.random() / 2)
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -73,7 +73,8 @@
         self.counts = SiteEdgeCounts(RateLimitedLog())
         self.edge = SiteEdge(self._edge_ports())
         self.is_draining = False
-        self._servers: list[Server] = []
+        self._callers_server: Server
+        self._peers_server: Server
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> 'SiteHost':
@@ -133,7 +134,13 @@
         """Stop being ready and wait until nothing is in flight."""
         self.is_draining = True
         await sitestop.stop(
-            sitestop.StoppingParts(self.edge, self.gate, self._servers),
+            sitestop.StoppingParts(
+                self.edge,
+                self.gate,
+                self._callers_server,
+                self._peers_server,
+                self.members.tell_stopping,
+            ),
             sitestop.StopTimes(
                 self.settings.callers_leave_s, self.settings.grace_s
             ),
@@ -175,30 +182,17 @@
         )
         self._caller_limits = Limits()
         peers = Limits(head_bytes=65536, idle_s=PEER_IDLE_S)
-        await self._open(stack, settings.peers_listen, receiver.serve, peers)
-        await self._open(
+        self._peers_server = await _open(
+            stack, settings.peers_listen, receiver.serve, peers
+        )
+        self._callers_server = await _open(
             stack,
             settings.callers_listen,
             self.edge.serve,
             self._caller_limits,
         )
         admin = siteadmin.SiteAdmin(self)
-        await self._open(
-            stack, settings.operators_listen, admin.serve, Limits()
-        )
-
-    async def _open(
-        self,
-        stack: AsyncExitStack,
-        address: str,
-        handler: Handler,
-        limits: Limits,
-    ) -> None:
-        host, _colon, port = address.rpartition(':')
-        server = await stack.enter_async_context(
-            serving(host, int(port), handler, limits)
-        )
-        self._servers.append(server)
+        await _open(stack, settings.operators_listen, admin.serve, Limits())
 
     async def _control(self, path: str, content: bytes) -> bytes | None:
         match path:
@@ -208,6 +202,8 @@
                 return self.rates.answer(content)
             case sitewire.CONFIGURATION_PATH:
                 return self.policy.content
+            case sitewire.STOPPING_PATH:
+                return self.members.answer_stopping(content)
             case _:
                 return None
 
@@ -261,3 +257,12 @@
         while True:
             await asyncio.sleep(TRIM_S)
             self.links.trim()
+
+
+async def _open(
+    stack: AsyncExitStack, address: str, handler: Handler, limits: Limits
+) -> Server:
+    host, _colon, port = address.rpartition(':')
+    return await stack.enter_async_context(
+        serving(host, int(port), handler, limits)
+    )
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -48,6 +48,7 @@
 REAP_S: Final = 5.0
 LOST_AFTER_S: Final = 15.0
 MAX_ENTRIES: Final = 200
+MAX_TOLD_PEERS: Final = 256
 FEED_PAUSE_S: Final = 0.3
 PUSH_PAUSE_S: Final = 0.1
 PUSHED_TO: Final = 2
@@ -152,6 +153,21 @@
         self._merge(heard.entries)
         return sitewire.encode_gossip(self._reply(heard))
 
+    async def tell_stopping(self) -> None:
+        """Tell peers that this host refuses attempts until it is back.
+
+        A peer that is not told learns of it by its first refused attempt.
+        """
+        peers = self._peers()
+        told = random.sample(peers, min(MAX_TOLD_PEERS, len(peers)))
+        await asyncio.gather(*(self._tell_stopping_to(one) for one in told))
+
+    def answer_stopping(self, content: bytes) -> bytes:
+        """Answer a peer that stops: send it no attempts for a while."""
+        host = content.decode('utf-8', 'replace')
+        self._balancer.record_stopping(host, time.monotonic())
+        return b''
+
     async def run(self) -> None:
         """Keep up until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -362,6 +378,21 @@
             self._merge(heard.entries)
         return heard
 
+    async def _tell_stopping_to(self, peer: SiteEntry) -> None:
+        try:
+            async with asyncio.timeout(GOSSIP_TIMEOUT_S):
+                await self._links.ask(
+                    peer.place.address,
+                    sitewire.STOPPING_PATH,
+                    self._settings.host.encode(),
+                )
+        except (LinkLost, TimeoutError) as error:
+            _log.debug(
+                'stop_not_told',
+                peer=peer.place.host,
+                error=type(error).__name__,
+            )
+
     def _unreached(self, place: Place) -> None:
         now = time.monotonic()
         self._unreached_since_by_host.setdefault(place.host, now)
--- a/packages/daemon/src/dragonflyknot/daemon/sitestop.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitestop.py
@@ -1,22 +1,23 @@
 """Stop a host in an order in which no request is lost.
 
 First the host reports that it is not ready and serves everything until
-callers have left. Then it refuses new requests of callers and new attempts,
-while requests that its upstream runs may still make calls. It stops as soon
-as nothing is in flight: hosts that are restarted together share the time for
-which a service is short. What is left at the end is answered as if its time
-were over.
+callers have left. Then it refuses new requests of callers and new attempts
+and tells its peers so, while requests that its upstream runs may still make
+calls. It stops as soon as all answers are written: hosts that are restarted
+together share the time for which a service is short. What is left at the end
+is answered as if its time were over.
 """
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Final
 
 import structlog
 
 from dragonflyknot.callers.siteedge import SiteEdge
+from dragonflyknot.daemon.tasks import Tasks
 from dragonflyknot.exchange.serverlink import Server
 from dragonflyknot.upstreams.sitegate import SiteGate
 
@@ -24,7 +25,10 @@
 MAX_DRAIN_SHARE: Final = 0.94
 EXIT_S: Final = 0.5
 POLL_INTERVAL_S: Final = 0.05
-LAST_REQUESTS_S: Final = 0.15
+# Time in which peers learn that the gate refuses.
+SETTLE_S: Final = 0.3
+LAST_ANSWERS_S: Final = 0.15
+LAST_REQUESTS_S: Final = 0.05
 _log = structlog.get_logger(__name__)
 
 
@@ -52,43 +56,54 @@
 
 @dataclass(frozen=True, slots=True)
 class StoppingParts:
-    """Bundle the parts of a host that take part in a stop."""
+    """Bundle the parts of a host that take part in a stop.
+
+    `tell_peers` tells other hosts that the gate refuses.
+    """
 
     edge: SiteEdge
     gate: SiteGate
-    servers: Sequence[Server]
+    callers: Server
+    peers: Server
+    tell_peers: Callable[[], Coroutine[object, object, None]]
 
     @property
     def in_flight(self) -> int:
-        """Return the number of requests in flight."""
-        return self.edge.in_flight + self.gate.in_flight
+        """Return the number of requests whose answers are not yet written."""
+        return self.callers.in_flight + self.peers.in_flight
 
 
 async def stop(parts: StoppingParts, times: StopTimes) -> None:
-    """Serve, refuse and close in turn; return when nothing is in flight."""
-    began = time.monotonic()
-    for server in parts.servers:
-        server.is_closing = True
+    """Serve, refuse and close in turn; return when all is answered."""
+    ends_at = time.monotonic() + times.max_drain_s
+    parts.callers.is_closing = True
     _log.info('draining', in_flight=parts.in_flight)
     await asyncio.sleep(times.refusing_after_s)
-    parts.gate.is_refusing = True
-    parts.edge.is_refusing = True
-    _log.info('refusing', in_flight=parts.in_flight)
-    left_s = began + times.max_drain_s - time.monotonic()
-    await _wait_until(lambda: not parts.in_flight, left_s)
-    for server in parts.servers:
-        server.stop_listening()
+    async with Tasks() as tasks:
+        _refuse(parts, ends_at)
+        tasks.start(parts.tell_peers())
+        await asyncio.sleep(min(SETTLE_S, ends_at - time.monotonic()))
+        await _wait_until_answered(parts, ends_at)
     parts.edge.close()
+    await _wait_until_answered(parts, time.monotonic() + LAST_ANSWERS_S)
+    for server in (parts.callers, parts.peers):
+        server.stop_listening()
     # What was sent before the close is still answered.
     await asyncio.sleep(LAST_REQUESTS_S)
-    for server in parts.servers:
+    for server in (parts.callers, parts.peers):
         server.close_idle()
     _log.info('drained', in_flight=parts.in_flight)
 
 
-async def _wait_until(is_so: Callable[[], bool], timeout_s: float) -> None:
-    deadline = time.monotonic() + timeout_s
+def _refuse(parts: StoppingParts, ends_at: float) -> None:
+    parts.gate.is_refusing = True
+    parts.edge.stop_admitting(ends_at)
+    parts.peers.is_closing = True
+    _log.info('refusing', in_flight=parts.in_flight)
+
+
+async def _wait_until_answered(parts: StoppingParts, deadline: float) -> None:
     while time.monotonic() < deadline:
-        if is_so():
+        if not parts.in_flight:
             return
         await asyncio.sleep(POLL_INTERVAL_S)
--- a/packages/decisions/src/dragonflyknot/decisions/balancer.py
+++ b/packages/decisions/src/dragonflyknot/decisions/balancer.py
@@ -388,6 +388,12 @@
         if load.state is UpstreamState.DRAINING:
             candidate.backoff_until = now + DRAINING_BACKOFF_S
 
+    def record_stopping(self, host: str, now: float) -> None:
+        """Record that a host says it refuses attempts until it is back."""
+        candidate = self._candidates_by_host.get(host)
+        if candidate is not None:
+            candidate.backoff_until = now + DRAINING_BACKOFF_S
+
     def _service_mean_s(self, service: str, route: str, now: float) -> float:
         """Return the mean latency of a route over the hosts of a service."""
         service_mean = self._mean_by_service_route.get((service, route))
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -23,6 +23,7 @@
 
 GOSSIP_PATH: Final = '/.dragonflyknot/gossip'
 CONFIGURATION_PATH: Final = '/.dragonflyknot/configuration'
+STOPPING_PATH: Final = '/.dragonflyknot/stopping'
 _STATES_BY_VALUE: Final = MappingProxyType(
     {state.value: state for state in UpstreamState}
 )
--- a/tests/platform/test_site_stops.py
+++ b/tests/platform/test_site_stops.py
@@ -137,6 +137,7 @@
                         path='/open/x',
                         Key='',
                         Attempt_Id=f'{seen.headers["attempt-id"]}.c',
+                        Request_Deadline='400',
                     )
                     statuses = f'{refused.status} {reply.status}'
                     writer.write(whole(seen, statuses.encode()))
