Never join the beginning of an extra answer with the next one

Callers got 503 ("not run, try again") for an unsafe request that the upstream ran and answered, and 502 where nothing was wrong with their own answer, where the beginning of an extra answer was left on the connection: behind a whole answer in the same segment, or unread when the next request was sent. The parser joined it with the next answer. "HTTP/1.1 503 Fu" and "HTTP/1.1 200 OK" made a signed 503 with the id of the request; a beginning that ends in a header value could add Not-Executed to the answer of a request that had run.

A link on which a response began behind the last whole one is not used again (the parser is asked for a partial message when the link is released). A head that holds another status line, in its reason phrase or in a value, breaks the link, so that the request counts as one that may have run; any other join is no valid head. The second check is made only if an answer did not begin with the first segment or the segment holds a second "HTTP/1.".

Failing before, on, tests/platform/test_faulty_answers.py, JoinedAnswerTest: test_beginning_before_the_answer: (502, 1) != (503, 1): b'HTTP/1.1 503 Fu' test_beginning_behind_a_whole_answer: 200 != 502: b'H' Both pass now. test_whole_answers_keep_their_connection passed before and shows that sound answers cost no connection.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -97,6 +97,7 @@
         self._is_head = False
         self._incomplete_head_bytes = 0
         self._interim_responses = 0
+        self._has_received = False
         self.is_busy = False
         self.idle_since = time.monotonic()
         self.idle_before_use_s = float(0)
@@ -142,22 +143,20 @@
             return
         if not messages:
             self._limit_head(len(data))
-        for message, payload in messages:
-            if message.code < FIRST_FINAL_STATUS:
-                self._skip_interim(message.code)
-                continue
-            self._responses.append(
-                Response(
-                    message.code,
-                    message.raw_headers,
-                    links.index_headers(message.raw_headers),
-                    payload,
-                    not message.should_close,
-                    message.chunked,
-                )
-            )
         if messages:
-            self._wake_waiter()
+            self._accept(messages, data)
+        self._has_received = True
+
+    @property
+    def has_partial_response(self) -> bool:
+        """Return whether a response began behind the last complete one.
+
+        The parser would join its bytes with the next response.
+        """
+        try:
+            return self._reader.feed_eof() is not None
+        except HttpProcessingError:
+            return True
 
     def send(self, content: bytes, *, is_head: bool) -> None:
         """Send a request head, followed by its body if that is buffered.
@@ -176,6 +175,7 @@
         self._last_response = None
         self._incomplete_head_bytes = 0
         self._interim_responses = 0
+        self._has_received = False
         self.transport.write(content)
 
     async def send_body(
@@ -224,6 +224,32 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _accept(self, messages: Any, data: bytes) -> None:
+        """Queue the responses whose heads ended in the received bytes."""
+        is_one_head = not self._has_received and (
+            data.find(links.HTTP_VERSION, 1) < 0
+        )
+        for message, payload in messages:
+            if not is_one_head and links.has_inner_status_line(
+                message.reason, message.raw_headers
+            ):
+                self._fail(None)
+                return
+            if message.code < FIRST_FINAL_STATUS:
+                self._skip_interim(message.code)
+                continue
+            self._responses.append(
+                Response(
+                    message.code,
+                    message.raw_headers,
+                    links.index_headers(message.raw_headers),
+                    payload,
+                    not message.should_close,
+                    message.chunked,
+                )
+            )
+        self._wake_waiter()
+
     def _skip_interim(self, status: int) -> None:
         """Ignore an interim response (RFC 9110, section 15.2).
 
@@ -327,7 +353,8 @@
     def release(self, link: ClientLink) -> None:
         """Return a link to the pool, or abort it if it is not reusable."""
         link.is_busy = False
-        if not link.is_reusable or len(self._idle) >= MAX_IDLE_LINKS:
+        is_full = len(self._idle) >= MAX_IDLE_LINKS
+        if is_full or not link.is_reusable or link.has_partial_response:
             link.abort()
             return
         link.idle_since = time.monotonic()
--- a/packages/exchange/src/dragonflyknot/exchange/links.py
+++ b/packages/exchange/src/dragonflyknot/exchange/links.py
@@ -5,6 +5,7 @@
 response objects on each hop. Bodies are read from aiohttp's stream readers.
 """
 
+import re
 import socket
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
@@ -24,6 +25,7 @@
 RESPONSE_PARSER: Final = http_parser.HttpResponseParser
 
 CRLF: Final = b'\r\n'
+HTTP_VERSION: Final = b'HTTP/1.'
 LAST_CHUNK: Final = b'0\r\n\r\n'
 READ_LIMIT_BYTES: Final = 65536
 MAX_HEADERS: Final = 256
@@ -46,6 +48,7 @@
 
 Body = bytes | StreamedBody
 
+_STATUS_LINE: Final = re.compile(rb'HTTP/1\.[01] [1-5]\d\d')
 _HOP_BY_HOP: Final = frozenset(
     (
         b'connection',
@@ -104,6 +107,17 @@
     return {name.lower(): text for name, text in received}
 
 
+def has_inner_status_line(reason: str, received: RawHeaders) -> bool:
+    """Return whether a response head contains another status line.
+
+    Such a head consists of the beginning of one response and of another
+    response. `reason` is the reason phrase, `received` are the header lines.
+    """
+    texts = [reason.encode('utf-8', 'surrogateescape')]
+    texts.extend(text for _name, text in received)
+    return any(_STATUS_LINE.search(text) is not None for text in texts)
+
+
 def encode_chunk(content: bytes) -> bytes:
     """Return the content as one chunk of the chunked transfer coding."""
     return b'%x\r\n%b\r\n' % (len(content), content)
--- a/tests/platform/test_faulty_answers.py
+++ b/tests/platform/test_faulty_answers.py
@@ -305,3 +305,84 @@
         ):
             status = self.status_of(interim, 'POST', count)
             self.assertEqual(502, status, str(interim))
+
+
+class JoinedAnswerTest(testtools.TestCase):
+    """The beginning of an extra answer precedes the own one."""
+
+    beginnings = (
+        b'H',
+        b'HTTP/1.1 503',
+        b'HTTP/1.1 503 Fu',
+        b'HTTP/1.1 503 Full\r',
+        b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n',
+        b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX-',
+        b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX-A: ',
+        b'HTTP/1.1 503 Full\r\nAttempt-Id: o\r\nNot-Executed: 1\r\nX-A: b',
+        b'HTTP/1.1 421 Other\r\nX-A: b',
+        b'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nX-A: ',
+    )
+
+    # Guards against the beginning of an extra answer behind a whole one,
+    # which was joined with the next answer to a refusal of what had run.
+    def test_beginning_behind_a_whole_answer(self) -> None:
+        """Close the connection, and return the answer over another."""
+
+        async def ask(beginning: bytes) -> None:
+            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+                is_head = seen.line.startswith('HEAD')
+                writer.write(whole(seen, b'' if is_head else b'ok') + beginning)
+
+            async with SiteFleet(1) as fleet:
+                upstream = fleet.upstreams[0]
+                upstream.script = script
+                for method in ('POST', 'POST', 'HEAD', 'HEAD'):
+                    reply = await fleet.ask(path='/book/x', method=method)
+                    self.assertEqual(200, reply.status, str(beginning))
+                self.assertEqual(4, upstream.connections, str(beginning))
+
+        for beginning in self.beginnings:
+            run_async(ask(beginning))
+
+    # Guards against a beginning that arrives only after the next request.
+    def test_beginning_before_the_answer(self) -> None:
+        """Answer 502, as the request may have run, and send it once."""
+
+        async def ask(beginning: bytes, pause_s: float) -> None:
+            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+                writer.write(beginning)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+                writer.write(whole(seen))
+
+            async with SiteFleet(1) as fleet:
+                upstream = fleet.upstreams[0]
+                upstream.script = script
+                reply = await fleet.ask(path='/book/x', method='POST')
+                self.assertEqual(
+                    (502, 1), (reply.status, len(upstream.seen)), str(beginning)
+                )
+
+        for beginning in self.beginnings:
+            run_async(ask(beginning, 0.01))
+            run_async(ask(beginning, 0))
+
+    # Guards against connections that are closed though nothing is wrong.
+    def test_whole_answers_keep_their_connection(self) -> None:
+        """Use one connection for all requests, also for HEAD."""
+
+        async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            is_head = seen.line.startswith('HEAD')
+            answer = whole(seen, b'', extra='Via: HTTP/1.1 one\r\n')
+            writer.write(answer if is_head else answer + b'\r\n')
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                upstream = fleet.upstreams[0]
+                upstream.script = script
+                for method in ('GET', 'HEAD', 'GET', 'HEAD', 'HEAD', 'POST'):
+                    reply = await fleet.ask(path='/book/x', method=method)
+                    self.assertEqual(200, reply.status)
+                self.assertEqual(1, upstream.connections)
+
+        run_async(body())
