Drop the headers between daemons from answers of upstreams

A caller got 503 ("not run") for an unsafe request that the upstream ran, where the upstream's answer had a header of the protocol between daemons: the gate passed Dragonflyknot-Refusal on, and the host that had taken the request read it as a refusal of the gate. The gate now drops these headers from answers, as the receiving side already did from requests.

Failing before, on, tests/platform/test_faulty_answers.py, ReservedHeaderTest::test_answer_is_no_refusal_of_a_gate: 200 != 503: Dragonflyknot-Refusal: shed,1 Passes now.

--- a/packages/exchange/src/dragonflyknot/exchange/dialect.py
+++ b/packages/exchange/src/dragonflyknot/exchange/dialect.py
@@ -13,6 +13,8 @@
 HOP_LOAD: Final = b'dragonflyknot-load'
 HOP_REFUSAL: Final = b'dragonflyknot-refusal'
 HOP_BROKEN: Final = b'dragonflyknot-broken'
+HOP_HEADERS: Final = frozenset((HOP, HOP_LOAD, HOP_REFUSAL, HOP_BROKEN))
+"""Headers of the protocol between daemons, dropped from other messages."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/peers/src/dragonflyknot/peers/sitelinks.py
+++ b/packages/peers/src/dragonflyknot/peers/sitelinks.py
@@ -38,9 +38,6 @@
 BAD_GATEWAY: Final = 502
 BAD_REQUEST: Final = 400
 _JSON_HEADER: Final = b'Content-Type: application/json\r\n'
-_HOP_HEADERS: Final = frozenset(
-    (dialect.HOP, dialect.HOP_LOAD, dialect.HOP_REFUSAL, dialect.HOP_BROKEN)
-)
 _log = structlog.get_logger(__name__)
 
 ControlHandler = Callable[[str, bytes], Awaitable[bytes | None]]
@@ -188,7 +185,9 @@
         if not isinstance(body, bytes):
             return Answered(
                 answer.status,
-                links.end_to_end_lines(answer.lines, answer.head, _HOP_HEADERS),
+                links.end_to_end_lines(
+                    answer.lines, answer.head, dialect.HOP_HEADERS
+                ),
                 body,
                 answer.length,
                 lambda: pool.release(link),
@@ -260,7 +259,9 @@
         outgoing = OutgoingRequest(
             request.method,
             request.target,
-            links.end_to_end_lines(request.lines, request.head, _HOP_HEADERS),
+            links.end_to_end_lines(
+                request.lines, request.head, dialect.HOP_HEADERS
+            ),
             body,
             request.head.get(self._request_id_header) or b'',
         )
@@ -312,7 +313,7 @@
         return MayHaveRun(Refusal.UPSTREAM_BROKE)
     return Answered(
         answer.status,
-        links.end_to_end_lines(answer.lines, answer.head, _HOP_HEADERS),
+        links.end_to_end_lines(answer.lines, answer.head, dialect.HOP_HEADERS),
         body,
         len(body),
     )
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -26,7 +26,7 @@
     Response,
     read_body,
 )
-from dragonflyknot.exchange.dialect import Dialect
+from dragonflyknot.exchange.dialect import HOP_HEADERS, Dialect
 from dragonflyknot.exchange.hopheaders import MS_PER_SECOND, Hop
 from dragonflyknot.exchange.outcomes import (
     Answered,
@@ -53,7 +53,6 @@
 MAX_CALL_WAIT_SHARE: Final = 0.4
 USABLE_SHARE: Final = 0.94
 MIN_RESERVING_SLOTS: Final = 8
-_NO_HEADERS: Final = frozenset[bytes]()
 _log = structlog.get_logger(__name__)
 
 
@@ -394,7 +393,7 @@
         if signature is None or encoded is not None:
             link.abort()
             return MayHaveRun(Refusal.UPSTREAM_BROKE)
-        lines = links.end_to_end_lines(answer.lines, answer.head, _NO_HEADERS)
+        lines = links.end_to_end_lines(answer.lines, answer.head, HOP_HEADERS)
         if isinstance(body, bytes):
             self._return_link(link, answer)
             return Answered(status, lines, body, len(body))
--- a/tests/platform/test_faulty_answers.py
+++ b/tests/platform/test_faulty_answers.py
@@ -8,6 +8,7 @@
 import testtools
 
 from asyncrun import run_async
+from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.exchange.clientlink import LinkPool, read_body
 from fakeupstream import Seen, whole
 from sitefleet import SiteFleet
@@ -386,3 +387,33 @@
                 self.assertEqual(1, upstream.connections)
 
         run_async(body())
+
+
+class ReservedHeaderTest(testtools.TestCase):
+    """An upstream sends headers of the protocol between daemons."""
+
+    # Guards against an answer that another host takes for a refusal.
+    def test_answer_is_no_refusal_of_a_gate(self) -> None:
+        """Return the answer over another host, without those headers."""
+        lines = (
+            'Dragonflyknot-Refusal: shed,1\r\n',
+            'Dragonflyknot-Broken: shed\r\n',
+            'Dragonflyknot-Load: ready,0,0,0,9,0\r\n',
+        )
+
+        async def ask(line: str) -> None:
+            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+                writer.write(whole(seen, extra=line))
+
+            async with SiteFleet(2) as fleet:
+                await fleet.announce(1, UpstreamState.DRAINING)
+                fleet.upstreams[0].script = script
+                for number in (1, 0):
+                    reply = await fleet.ask(number, '/book/x', 'POST')
+                    self.assertEqual(200, reply.status, line)
+                    name = line.partition(':')[0].lower()
+                    self.assertNotIn(name, reply.headers)
+                self.assertEqual(2, len(fleet.upstreams[0].seen))
+
+        for line in lines:
+            run_async(ask(line))
