Return an answer whose keep-alive timeout has too many digits

What callers saw: an upstream that states a timeout of 400 digits in Keep-Alive had run the request, and the caller got a closed connection instead of the answer.

Cause: the product of such a number and a float raises OverflowError (of 5,000 digits int() raises ValueError) after the answer has been read.

Change: nine digits are read; the timeout is limited to 8 s anyway.

Evidence, on the commit before (KeepAliveTest.test_timeout_out_of_range):

OverflowError: int too large to convert to float MismatchError: 200 != 0: 400

After: it passes.

--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -39,6 +39,7 @@
 MAX_LINK_IDLE_S: Final = 8.0
 # Part of the keep-alive timeout of the upstream after which links close.
 KEEP_ALIVE_SHARE: Final = 0.7
+MAX_KEEP_ALIVE_DIGITS: Final = 9
 # Longest idle time of a link for an unsafe request, which can't be repeated
 # if the upstream has closed the link.
 MAX_IDLE_FOR_UNSAFE_S: Final = 0.3
@@ -392,7 +393,7 @@
         for option in keep_alive.split(b','):
             name, _equals, seconds = option.strip().partition(b'=')
             if name.lower() == b'timeout' and seconds.isdigit():
-                idle_s = int(seconds) * KEEP_ALIVE_SHARE
+                idle_s = int(seconds[:MAX_KEEP_ALIVE_DIGITS]) * KEEP_ALIVE_SHARE
                 self._pool.idle_s = min(MAX_LINK_IDLE_S, idle_s)
 
     def _request_head(
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -1,5 +1,6 @@
 """A site whose hosts table and whose peers hold what others wrote."""
 
+import asyncio
 import json
 from typing import Any
 from unittest import mock
@@ -9,6 +10,7 @@
 from asyncrun import run_async
 from dragonflyknot.exchange.serverlink import Request, serving
 from dragonflyknot.peers import sitewire
+from fakeupstream import Seen, whole
 from harness.addresses import free_port
 from sitefleet import SiteFleet
 
@@ -151,6 +153,32 @@
         run_async(body())
 
 
+class KeepAliveTest(testtools.TestCase):
+    """An upstream may state any idle timeout."""
+
+    # Guards against a served request that is lost for a number in a header.
+    def test_timeout_out_of_range(self) -> None:
+        """Return the answer whatever its Keep-Alive header holds."""
+        for digits in (400, 5000):
+            header = f'Keep-Alive: timeout={"9" * digits}\r\n'
+            self.assertEqual(200, _status_with(header), str(digits))
+
+
+def _status_with(header: str) -> int:
+    """Return the status of a request whose answer has a header."""
+
+    async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(whole(seen, extra=header))
+
+    async def body() -> int:
+        async with SiteFleet(1) as fleet:
+            fleet.upstreams[0].script = script
+            reply = await fleet.ask(path='/book/x', method='POST')
+            return reply.status
+
+    return run_async(body())
+
+
 def _stored(fleet: SiteFleet, host: str) -> str:
     """Return the instance that a host's row names, empty if it is spoilt."""
     content, _version = fleet.store.rows['hosts', host]
