--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -6,6 +6,10 @@
 both go on while the store is out. Rows of hosts that left, or that nobody
 reaches, are removed by their peers under the condition that they have not
 changed.
+
+A store that was restored from an older copy lacks rows, has older ones or
+brings removed ones back. Each host writes its own row again; a row that is
+absent then says nothing about its host, and a row that is back is removed.
 """
 
 import asyncio
@@ -31,6 +35,7 @@
     RowName,
     Snapshot,
     StoreOut,
+    StoreVersion,
     VersionedRow,
 )
 
@@ -77,7 +82,7 @@
         self._to_push: dict[str, SiteEntry] = {}
         self._has_news = asyncio.Event()
         self._listeners: list[Callable[[], None]] = []
-        self._versions_by_host: dict[str, int] = {}
+        self._versions_by_host: dict[str, StoreVersion] = {}
         self._unreached_since_by_host: dict[str, float] = {}
         self._has_read = asyncio.Event()
         self._is_settled = False
@@ -126,9 +131,9 @@
             upstream.instance,
             upstream.born,
         )
-        known = self.view.own
+        known = self.view.own if self.view.has_published else None
         if known is None or not _is_same(known, entry):
-            self._news([self.view.publish(entry)])
+            self._news([self.view.publish(entry, _unix_ms())])
             self._written = None
         return self._write_soon()
 
@@ -170,10 +175,16 @@
 
     def _read(self, snapshot: Snapshot) -> None:
         keys = {row.key for row in snapshot.rows}
-        for host in tuple(self._versions_by_host):
-            if host not in keys:
+        for host, version in tuple(self._versions_by_host.items()):
+            if host in keys:
+                continue
+            if version.is_comparable(snapshot.version):
                 self._removed(host)
+            else:
+                # The restored store may lack rows of hosts that are alive.
+                self._versions_by_host.pop(host)
         self._changed(snapshot)
+        self._keep_own_row(snapshot)
         self._settle()
         self._has_read.set()
 
@@ -199,12 +210,27 @@
             )
         return entry
 
-    def _removed(self, host: str) -> None:
+    def _keep_own_row(self, snapshot: Snapshot) -> None:
+        """Write the own row again if the store has lost it or has an older."""
+        own, written = self.view.own, self._written
+        if own is None or written is None or not written.done():
+            return
+        stored = [
+            row.content
+            for row in snapshot.rows
+            if row.key == self._settings.host
+        ]
+        if stored != [sitewire.encode_entry(own)]:
+            _log.warning('entry_lost', stamp=own.stamp, rows=len(stored))
+            self._written = None
+            self._write_soon()
+
+    def _removed(self, host: str, stamp: int = 0) -> None:
         self._versions_by_host.pop(host, None)
         own = self.view.own
-        self.view.remove(host)
+        self.view.remove(host, stamp)
         if host == self._settings.host and own is not None:
-            self._news([self.view.publish(own)])
+            self._news([self.view.publish(own, _unix_ms())])
             self._written = None
             self._write_soon()
             return
@@ -299,7 +325,7 @@
 
     async def _exchange(self, place: Place, stamps: Stamps) -> None:
         for host in self.view.removed_elsewhere(stamps):
-            self._removed(host)
+            self._removed(host, stamps.tombstones[host])
         entries = self.view.newer_than(stamps)
         wants = self.view.outdated_hosts(stamps)
         if entries or wants:
@@ -367,7 +393,7 @@
     async def _reap_on(self) -> None:
         while True:
             await asyncio.sleep(REAP_S * (0.5 + random.random()))
-            for host in self._dead():
+            for host in (*self._dead(), *self._returned()):
                 await self._reap(host)
 
     def _dead(self) -> list[str]:
@@ -382,6 +408,13 @@
             if since < oldest and self._policy.has_store
         ]
 
+    def _returned(self) -> list[str]:
+        """Return the removed hosts whose rows are in the store again."""
+        if not self._policy.has_store or not self._follows():
+            return []
+        known = self.view.entries_by_host
+        return [host for host in self._versions_by_host if host not in known]
+
     async def _reap(self, host: str) -> None:
         version = self._versions_by_host.get(host)
         self._unreached_since_by_host.pop(host, None)
@@ -399,6 +432,10 @@
         _log.info('entry_removed', lost_host=host, done=is_done)
 
 
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
 def _is_same(known: SiteEntry, entry: SiteEntry) -> bool:
     return (
         known.place == entry.place
