--- a/packages/peers/src/dragonflyknot/peers/sitelinks.py
+++ b/packages/peers/src/dragonflyknot/peers/sitelinks.py
@@ -18,10 +18,10 @@
 from dragonflyknot.exchange.clientlink import (
     ClientLink,
     LinkLost,
-    LinkPool,
     Response,
     read_body,
 )
+from dragonflyknot.exchange.linkpool import LinkPool
 from dragonflyknot.exchange.outcomes import (
     Answered,
     MayHaveRun,
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -22,12 +22,12 @@
 from dragonflyknot.exchange.clientlink import (
     ClientLink,
     LinkLost,
-    LinkPool,
     Response,
     read_body,
 )
 from dragonflyknot.exchange.dialect import HOP_HEADERS, Dialect
 from dragonflyknot.exchange.hopheaders import MS_PER_SECOND, Hop
+from dragonflyknot.exchange.linkpool import LinkPool
 from dragonflyknot.exchange.outcomes import (
     Answered,
     MayHaveRun,
--- a/tests/platform/test_faulty_answers.py
+++ b/tests/platform/test_faulty_answers.py
@@ -9,7 +9,8 @@
 
 from asyncrun import run_async
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.exchange.clientlink import LinkPool, read_body
+from dragonflyknot.exchange.clientlink import read_body
+from dragonflyknot.exchange.linkpool import LinkPool
 from fakeupstream import Seen, whole
 from sitefleet import SiteFleet
 
--- a/tests/platform/test_link_pool.py
+++ b/tests/platform/test_link_pool.py
@@ -4,7 +4,8 @@
 
 from asyncrun import run_async
 from dragonflyknot.exchange import clientlink
-from dragonflyknot.exchange.clientlink import ClientLink, LinkLost, LinkPool
+from dragonflyknot.exchange.clientlink import ClientLink, LinkLost
+from dragonflyknot.exchange.linkpool import LinkPool
 from dragonflyknot.exchange.serverlink import Request, serving
 
 _REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
