--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from typing import Final
 
 import structlog
@@ -22,10 +21,9 @@
 from dragonflyknot.exchange.clientlink import (
     ClientLink,
     LinkLost,
-    Response,
     read_body,
 )
-from dragonflyknot.exchange.dialect import HOP_HEADERS, Dialect
+from dragonflyknot.exchange.dialect import Dialect
 from dragonflyknot.exchange.hopheaders import MS_PER_SECOND, Hop
 from dragonflyknot.exchange.linkpool import LinkPool
 from dragonflyknot.exchange.outcomes import (
@@ -35,21 +33,17 @@
     Outcome,
     OutgoingRequest,
 )
+from dragonflyknot.upstreams.answerreading import (
+    MAX_LINK_IDLE_S,
+    AnswerReader,
+)
 
-MAX_LINK_IDLE_S: Final = 8.0
-# Part of the keep-alive timeout of the upstream after which links close.
-KEEP_ALIVE_SHARE: Final = 0.7
-MAX_KEEP_ALIVE_DIGITS: Final = 9
 # Longest idle time of a link for an unsafe request, which can't be repeated
 # if the upstream has closed the link.
 MAX_IDLE_FOR_UNSAFE_S: Final = 0.3
 SILENCE_TIMEOUT_MS: Final = 4000
 CONNECT_TIMEOUT_S: Final = 0.5
 UNREACHABLE_BACKOFF_S: Final = 0.3
-MISDIRECTED_REQUEST_STATUS: Final = 421
-MIN_SERVER_ERROR_STATUS: Final = 500
-# After so many answers to other requests, the link is closed.
-MAX_SKIPPED_ANSWERS: Final = 8
 # Part of its remaining time that a call may wait for a slot.
 MAX_CALL_WAIT_SHARE: Final = 0.4
 USABLE_SHARE: Final = 0.94
@@ -73,14 +67,12 @@
         )
         self._register = register
         self._dialect = dialect
+        self._answers = AnswerReader(dialect, self._pool)
         self._queue = SlotQueue()
         self._running = RunningRequests()
         self._decisions_by_attempt: dict[int, asyncio.Future[SlotDecision]] = {}
         self._attempt_count = 0
         self._unreachable_until = float(0)
-        self._signature_header = dialect.signature.lower()
-        self._not_run_header = dialect.not_run.lower()
-        self._request_id_header = dialect.request_id.lower()
         self.in_flight = 0
         self.is_refusing = False
 
@@ -150,7 +142,7 @@
         try:
             async with asyncio.timeout(1):
                 link.send(head, is_head=False)
-                answer = await self._receive_answer(link, check)
+                answer = await self._answers.receive(link, check)
                 await read_body(answer)
         except (LinkLost, TimeoutError, links.BodyBroken):
             link.abort()
@@ -322,8 +314,8 @@
         is_head = outgoing.method == 'HEAD'
         if isinstance(outgoing.body, bytes):
             link.send(head + outgoing.body, is_head=is_head)
-            answer = await self._receive_answer(link, outgoing)
-            return await self._outcome_of(link, answer, outgoing)
+            answer = await self._answers.receive(link, outgoing)
+            return await self._answers.outcome_of(link, answer, outgoing)
         link.send(head, is_head=is_head)
         return await self._exchange_long_body(link, outgoing, outgoing.body)
 
@@ -335,97 +327,14 @@
     ) -> Outcome:
         sending = asyncio.ensure_future(link.send_body(body, is_chunked=True))
         try:
-            answer = await self._receive_answer(link, outgoing)
+            answer = await self._answers.receive(link, outgoing)
             if not sending.done():
                 # The rest of the body must not be parsed as a new request.
                 link.mark_unusable()
-            return await self._outcome_of(link, answer, outgoing)
+            return await self._answers.outcome_of(link, answer, outgoing)
         finally:
             sending.cancel()
 
-    async def _receive_answer(
-        self, link: ClientLink, outgoing: OutgoingRequest
-    ) -> Response:
-        """Return the answer to the request; skip those to other requests."""
-        for _ in range(MAX_SKIPPED_ANSWERS):
-            answer = await link.receive()
-            if self._is_answer_to(answer, outgoing, link):
-                return answer
-            _log.info('answer_of_another_request', status=answer.status)
-            link.mark_unusable()
-            if not isinstance(await read_body(answer), bytes):
-                break
-        raise LinkLost(was_sent=True)
-
-    def _is_answer_to(
-        self, answer: Response, outgoing: OutgoingRequest, link: ClientLink
-    ) -> bool:
-        """Return whether an answer belongs to the request that was sent last.
-
-        It must have the id of the request. An answer without an id is accepted
-        on a link that has not carried any other request.
-        """
-        if self._echoes_id(answer, outgoing):
-            return True
-        return self._request_id_header not in answer.head and link.sends == 1
-
-    def _echoes_id(self, answer: Response, outgoing: OutgoingRequest) -> bool:
-        """Return whether an answer has the id of the request, or both none."""
-        echoed = answer.head.get(self._request_id_header, b'')
-        return echoed == outgoing.request_id
-
-    async def _outcome_of(
-        self, link: ClientLink, answer: Response, outgoing: OutgoingRequest
-    ) -> Outcome:
-        body = await read_body(answer)
-        status = answer.status
-        refusal = self._refusal_in(answer)
-        if refusal is not None or status >= MIN_SERVER_ERROR_STATUS:
-            link.remember_unserved(outgoing.request_id)
-        if refusal is not None and not self._echoes_id(answer, outgoing):
-            # A promise that nothing was run must name the request.
-            link.abort()
-            return MayHaveRun(Refusal.UPSTREAM_BROKE)
-        if refusal is not None:
-            self._return_link(link, answer)
-            return NotRun(refusal, reached_upstream=True)
-        signature = answer.head.get(self._signature_header)
-        encoded = answer.head.get(b'content-encoding')
-        if signature is None or encoded is not None:
-            link.abort()
-            return MayHaveRun(Refusal.UPSTREAM_BROKE)
-        lines = links.end_to_end_lines(answer.lines, answer.head, HOP_HEADERS)
-        if isinstance(body, bytes):
-            self._return_link(link, answer)
-            return Answered(status, lines, body, len(body))
-        return Answered(
-            status, lines, body, answer.length, self._link_release(link)
-        )
-
-    def _refusal_in(self, answer: Response) -> Refusal | None:
-        """Return the refusal if the upstream states that nothing was run."""
-        if answer.status == MISDIRECTED_REQUEST_STATUS:
-            return Refusal.WRONG_INCARNATION
-        if answer.head.get(self._not_run_header) is not None:
-            return Refusal.SHED
-        return None
-
-    def _link_release(self, link: ClientLink) -> Callable[[], None]:
-        return lambda: self._pool.release(link)
-
-    def _return_link(self, link: ClientLink, answer: Response) -> None:
-        keep_alive = answer.head.get(b'keep-alive')
-        if keep_alive is not None:
-            self._adopt_keep_alive(keep_alive)
-        self._pool.release(link)
-
-    def _adopt_keep_alive(self, keep_alive: bytes) -> None:
-        for option in keep_alive.split(b','):
-            name, _equals, seconds = option.strip().partition(b'=')
-            if name.lower() == b'timeout' and seconds.isdigit():
-                idle_s = int(seconds[:MAX_KEEP_ALIVE_DIGITS]) * KEEP_ALIVE_SHARE
-                self._pool.idle_s = min(MAX_LINK_IDLE_S, idle_s)
-
     def _request_head(
         self,
         hop: Hop,
