Read a remaining time that is too large as none

It counts as no time now, like text that is no number.

Failed before: test_unusable_time_is_no_bound, "200 != 0", "OverflowError: integer division result too large for a float".

--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -264,7 +264,7 @@
         text = request.head.get(self._deadline_header)
         try:
             return int(text or b'') / MS_PER_SECOND
-        except ValueError:
+        except (ValueError, OverflowError):
             return float('inf')
 
     async def _forward(self, forwarded: ForwardedRequest) -> RequestResult:
--- a/tests/platform/test_site.py
+++ b/tests/platform/test_site.py
@@ -191,6 +191,22 @@
         run_async(body())
 
 
+class RemainingTimeTest(testtools.TestCase):
+    """The time that a caller names bounds its request."""
+
+    # A number of 400 digits closed the connection without an answer.
+    def test_unusable_time_is_no_bound(self) -> None:
+        """Answer a request whose time cannot be read."""
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                for time_left in ('9' * 400, '9' * 5000, 'soon', '-'):
+                    reply = await fleet.ask(Request_Deadline=time_left)
+                    self.assertEqual(200, reply.status)
+
+        run_async(body())
+
+
 class AtMostOnceTest(testtools.TestCase):
     """An unsafe request runs at most once, and refusals are true."""
 
