Split the gossip with peers from the members of a site

PeerGossip has what goes between peers and tells SiteMembers through three methods; writing the own row again stands once instead of four times.

--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -139,7 +139,7 @@
                 self.gate,
                 self._callers_server,
                 self._peers_server,
-                self.members.tell_stopping,
+                self.members.gossip.tell_stopping,
             ),
             sitestop.StopTimes(
                 self.settings.callers_leave_s, self.settings.grace_s
@@ -197,7 +197,7 @@
     async def _control(self, path: str, content: bytes) -> bytes | None:
         match path:
             case sitewire.GOSSIP_PATH:
-                return self.members.answer(content)
+                return self.members.gossip.answer(content)
             case demandwire.DEMAND_PATH:
                 return self.rates.answer(content)
             case sitewire.CONFIGURATION_PATH:
