--- a/packages/callers/src/dragonflyknot/callers/credentials.py
+++ b/packages/callers/src/dragonflyknot/callers/credentials.py
@@ -18,7 +18,6 @@
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
 MS_PER_SECOND = 1000
 _BEARER_PREFIX = 'bearer '
-_STALE_RETRY_AFTER_S = 2.0
 
 
 def workspace_of(
--- a/packages/decisions/src/dragonflyknot/decisions/slotqueue.py
+++ b/packages/decisions/src/dragonflyknot/decisions/slotqueue.py
@@ -22,7 +22,6 @@
 )
 
 PRIORITY_LEVELS: Final = HIGHEST_CALL_PRIORITY + 1
-SERVICE_TIME_DECAY_S: Final = 5.0
 SERVICE_TIME_EWMA_WEIGHT: Final = 0.1
 INITIAL_SERVICE_TIME_S: Final = 0.1
 STARTED_WORK_DECAY_S: Final = 2.0
