Use one fleet for all cases of a faulty upstream

Each fleet of a test reserves 7 or 13 ports until the process ends, one descriptor each. With a fleet for each of about 80 cases, test_cut_answers and test_faulty_answers took so many that select() in virtualclock failed later in the same process: of tests/platform and tests/unit on, ten tests (of test_rates_of_lost_hosts, and two that saw its left-over tasks) failed with "ValueError: filedescriptor out of range in select()".

Each of these tests now runs its cases in one fleet, with whole answers in between, so that neither the host nor the route is given up. The cases and expectations are the same, and requests over new and over kept connections are both kept.

--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -1,6 +1,7 @@
 """Upstreams that end a connection in the middle of an answer."""
 
 import asyncio
+import itertools
 import socket
 import struct
 
@@ -13,6 +14,7 @@
 
 BODY = b'b' * 500
 LARGE = b'b' * 1_000_000
+HEALTHY_BETWEEN = 2
 LINGER_NOT = struct.pack('ii', 1, 0)
 SIGNED = b'HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Signature: s\r\n'
 LENGTH = SIGNED + b'Content-Length: 500\r\n'
@@ -60,13 +62,18 @@
     """An answer that ends early is a failure, never a whole answer."""
 
     def check(
-        self, name: str, cut: bytes, methods: tuple[str, ...], *, resets: bool
+        self,
+        cases: tuple[tuple[str, bytes], ...],
+        methods: tuple[str, ...],
+        *,
+        resets: bool,
     ) -> None:
         """Ask both hosts over new and kept connections to one upstream."""
+        cut = [b'']
 
         async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
             request_id = seen.headers['attempt-id'].encode()
-            writer.write(cut.replace(b'ID', request_id))
+            writer.write(cut[0].replace(b'ID', request_id))
             await writer.drain()
             if resets:
                 await asyncio.sleep(0.02)
@@ -76,61 +83,66 @@
                 writer.transport.abort()
             writer.close()
 
-        async def body() -> list[Reply]:
+        async def body() -> None:
             async with SiteFleet(2) as fleet:
                 await fleet.announce(1, UpstreamState.DRAINING)
-                replies = [await fleet.ask(0), await fleet.ask(1)]
-                fleet.upstreams[0].script = script
-                for number in (0, 1):
-                    for method in methods:
+                for name, cut[0] in cases:
+                    for number, method in itertools.product((0, 1), methods):
+                        fleet.upstreams[0].script = None
+                        for _request in range(HEALTHY_BETWEEN):
+                            whole = await fleet.ask(number, '/book/x')
+                            self.assertEqual(200, whole.status, name)
+                        fleet.upstreams[0].script = script
                         reply = await fleet.ask(number, '/book/x', method)
-                        replies.append(reply)
-                self.assertEqual([], fleet.upstreams[1].seen, name)
-                return replies
+                        self.assertEqual(502, reply.status, f'{name} {method}')
+                self.assertEqual([], fleet.upstreams[1].seen)
 
-        statuses = [reply.status for reply in run_async(body())]
-        expected = [200, 200] + [502 for _ in (0, 1) for _ in methods]
-        self.assertEqual(expected, statuses, name)
+        run_async(body())
 
     # Guards against the lines of a cut head that are taken as a whole one.
     def test_cut_heads(self) -> None:
         """Answer 502, also over another host, wherever the head is cut."""
-        for name, cut in HEADS:
-            self.check(name, cut, ('POST', 'GET', 'HEAD'), resets=False)
+        self.check(HEADS, ('POST', 'GET', 'HEAD'), resets=False)
 
     # Guards against a short body that is passed on as a whole one.
     def test_cut_bodies(self) -> None:
         """Answer 502, also over another host, wherever the body is cut."""
-        for name, cut in BODIES:
-            self.check(name, cut, ('POST', 'GET'), resets=False)
+        self.check(BODIES, ('POST', 'GET'), resets=False)
 
     # Guards against a body without a length that is whole after a reset.
     def test_reset_bodies(self) -> None:
         """Take a body without a length as whole only after a close."""
         cut = SIGNED + b'Connection: close\r\n\r\n' + BODY
-        self.check('reset', cut, ('POST', 'GET'), resets=True)
+        self.check((('reset', cut),), ('POST', 'GET'), resets=True)
 
     # Guards against a large body that breaks after its start was passed on.
     def test_cut_streams(self) -> None:
         """Break the connection to the caller where a large body breaks."""
 
-        async def ask(head: bytes, end: bytes) -> None:
-            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
-                request_id = seen.headers['attempt-id'].encode()
-                writer.write(head.replace(b'ID', request_id) + LARGE + end)
-                await writer.drain()
-                writer.close()
+        starts = (
+            (SIGNED + b'Content-Length: 2000000\r\n\r\n', b''),
+            (CHUNKED + b'f4240\r\n', b''),
+            (CHUNKED + b'f4240\r\n', b'\r\n'),
+        )
+        parts = [b'', b'']
+
+        async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            request_id = seen.headers['attempt-id'].encode()
+            head = parts[0].replace(b'ID', request_id)
+            writer.write(head + LARGE + parts[1])
+            await writer.drain()
+            writer.close()
 
+        async def body() -> None:
             async with SiteFleet(2) as fleet:
                 await fleet.announce(1, UpstreamState.DRAINING)
                 fleet.upstreams[0].script = script
-                for number in (0, 1):
-                    reply = await fleet.ask(number)
-                    self.assertFalse(_looks_whole(reply), str(head))
+                for parts[:] in starts:
+                    for number in (0, 1):
+                        reply = await fleet.ask(number)
+                        self.assertFalse(_looks_whole(reply), str(parts))
 
-        run_async(ask(SIGNED + b'Content-Length: 2000000\r\n\r\n', b''))
-        run_async(ask(CHUNKED + b'f4240\r\n', b''))
-        run_async(ask(CHUNKED + b'f4240\r\n', b'\r\n'))
+        run_async(body())
 
 
 def _looks_whole(reply: Reply) -> bool:
--- a/tests/platform/test_faulty_answers.py
+++ b/tests/platform/test_faulty_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -260,52 +261,68 @@
 class InterimAnswerTest(testtools.TestCase):
     """An upstream sends informational responses."""
 
-    def status_of(self, interim: bytes, method: str, count: int) -> int:
-        """Return the status if so many come before the answer, in parts."""
+    def check(
+        self, expected: int, cases: tuple[tuple[bytes, str, int], ...]
+    ) -> None:
+        """Ask twice, with so many responses in parts before the answer."""
 
-        async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
-            for _response in range(count):
-                writer.write(interim[:-3])
-                await writer.drain()
-                await asyncio.sleep(0.001)
-                writer.write(interim[-3:])
-            answer = whole(seen)
-            writer.write(answer[:-2] if method == 'HEAD' else answer)
+        async def ask(fleet: SiteFleet, case: tuple[bytes, str, int]) -> int:
+            interim, method, count = case
+
+            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+                request_id = seen.headers['attempt-id'].encode()
+                response = interim.replace(b'ID', request_id)
+                for _response in range(count):
+                    writer.write(response[:-3])
+                    await writer.drain()
+                    await asyncio.sleep(0.001)
+                    writer.write(response[-3:])
+                answer = whole(seen)
+                writer.write(answer[:-2] if method == 'HEAD' else answer)
+
+            for _request in range(2):
+                await fleet.ask(path='/book/x')
+            fleet.upstreams[0].script = script
+            reply = await fleet.ask(path='/book/x', method=method)
+            return reply.status
+
+        async def close(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(whole(seen, extra='Connection: close\r\n'))
 
-        async def body() -> int:
+        async def body() -> None:
             async with SiteFleet(1) as fleet:
-                fleet.upstreams[0].script = script
-                await fleet.ask(path='/book/x', method=method)
-                reply = await fleet.ask(path='/book/x', method=method)
-                return reply.status
+                # The first of each two requests opens a connection.
+                for case, before in itertools.product(cases, (close, None)):
+                    fleet.upstreams[0].script = before
+                    status = await ask(fleet, case)
+                    self.assertEqual(expected, status, str(case))
 
-        return run_async(body())
+        run_async(body())
 
     # Guards against an interim response that is taken as the final one.
     def test_interim_responses_are_skipped(self) -> None:
         """Return the final answer."""
         early_hints = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
-        for interim, method, count in (
+        cases = (
             (b'HTTP/1.1 100 Continue\r\n\r\n', 'POST', 1),
             (b'HTTP/1.1 100 Continue\r\n\r\n', 'HEAD', 2),
             (early_hints, 'GET', 1),
             (early_hints, 'POST', 8),
             (b'HTTP/1.1 199 Any\r\nNot-Executed: 1\r\n\r\n', 'POST', 1),
-        ):
-            status = self.status_of(interim, method, count)
-            self.assertEqual(200, status, f'{interim!r} {method}')
+        )
+        self.check(200, cases)
 
     # Guards against interim responses that are read without a bound.
     def test_interim_responses_are_bounded(self) -> None:
         """Answer 502 after too many, and where the protocol is switched."""
+        signed = b'Response-Signature: s\r\nAttempt-Id: ID\r\n\r\n'
         switch = b'HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n'
-        for interim, count in (
-            (b'HTTP/1.1 100 Continue\r\n\r\n', 100),
-            (switch + b'\r\n', 1),
-            (switch + b'Response-Signature: s\r\nAttempt-Id: a1\r\n\r\n', 1),
-        ):
-            status = self.status_of(interim, 'POST', count)
-            self.assertEqual(502, status, str(interim))
+        cases = (
+            (b'HTTP/1.1 100 Continue\r\n\r\n', 'POST', 100),
+            (switch + b'\r\n', 'POST', 1),
+            (switch + signed, 'POST', 1),
+        )
+        self.check(502, cases)
 
 
 class JoinedAnswerTest(testtools.TestCase):
@@ -329,44 +346,55 @@
     def test_beginning_behind_a_whole_answer(self) -> None:
         """Close the connection, and return the answer over another."""
 
-        async def ask(beginning: bytes) -> None:
-            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
-                is_head = seen.line.startswith('HEAD')
-                writer.write(whole(seen, b'' if is_head else b'ok') + beginning)
+        beginning = [b'']
+
+        async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            is_head = seen.line.startswith('HEAD')
+            content = b'' if is_head else b'ok'
+            writer.write(whole(seen, content) + beginning[0])
 
+        async def body() -> None:
             async with SiteFleet(1) as fleet:
                 upstream = fleet.upstreams[0]
                 upstream.script = script
-                for method in ('POST', 'POST', 'HEAD', 'HEAD'):
-                    reply = await fleet.ask(path='/book/x', method=method)
-                    self.assertEqual(200, reply.status, str(beginning))
-                self.assertEqual(4, upstream.connections, str(beginning))
+                for beginning[0] in self.beginnings:
+                    for method in ('POST', 'POST', 'HEAD', 'HEAD'):
+                        reply = await fleet.ask(path='/book/x', method=method)
+                        self.assertEqual(200, reply.status, str(beginning))
+                    sends = len(upstream.seen)
+                    self.assertEqual(sends, upstream.connections)
 
-        for beginning in self.beginnings:
-            run_async(ask(beginning))
+        run_async(body())
 
     # Guards against a beginning that arrives only after the next request.
     def test_beginning_before_the_answer(self) -> None:
         """Answer 502, as the request may have run, and send it once."""
 
-        async def ask(beginning: bytes, pause_s: float) -> None:
-            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
-                writer.write(beginning)
-                await writer.drain()
-                await asyncio.sleep(pause_s)
-                writer.write(whole(seen))
+        beginning = [b'']
+        pause_s = [0.0]
+
+        async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(beginning[0])
+            await writer.drain()
+            await asyncio.sleep(pause_s[0])
+            writer.write(whole(seen))
 
+        async def body() -> None:
             async with SiteFleet(1) as fleet:
                 upstream = fleet.upstreams[0]
-                upstream.script = script
-                reply = await fleet.ask(path='/book/x', method='POST')
-                self.assertEqual(
-                    (502, 1), (reply.status, len(upstream.seen)), str(beginning)
-                )
+                cases = itertools.product(self.beginnings, (0.0, 0.01))
+                for beginning[0], pause_s[0] in cases:
+                    upstream.script = None
+                    await fleet.ask(path='/book/x')
+                    upstream.script = script
+                    sends = len(upstream.seen)
+                    reply = await fleet.ask(path='/book/x', method='POST')
+                    sends = len(upstream.seen) - sends
+                    self.assertEqual(
+                        (502, 1), (reply.status, sends), str(beginning)
+                    )
 
-        for beginning in self.beginnings:
-            run_async(ask(beginning, 0.01))
-            run_async(ask(beginning, 0))
+        run_async(body())
 
     # Guards against connections that are closed though nothing is wrong.
     def test_whole_answers_keep_their_connection(self) -> None:
@@ -401,19 +429,20 @@
             'Dragonflyknot-Load: ready,0,0,0,9,0\r\n',
         )
 
-        async def ask(line: str) -> None:
-            async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
-                writer.write(whole(seen, extra=line))
+        line = ['']
 
+        async def script(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(whole(seen, extra=line[0]))
+
+        async def body() -> None:
             async with SiteFleet(2) as fleet:
                 await fleet.announce(1, UpstreamState.DRAINING)
                 fleet.upstreams[0].script = script
-                for number in (1, 0):
+                for line[0], number in itertools.product(lines, (1, 0)):
                     reply = await fleet.ask(number, '/book/x', 'POST')
-                    self.assertEqual(200, reply.status, line)
-                    name = line.partition(':')[0].lower()
+                    self.assertEqual(200, reply.status, line[0])
+                    name = line[0].partition(':')[0].lower()
                     self.assertNotIn(name, reply.headers)
-                self.assertEqual(2, len(fleet.upstreams[0].seen))
+                self.assertEqual(6, len(fleet.upstreams[0].seen))
 
-        for line in lines:
-            run_async(ask(line))
+        run_async(body())
