Soak stops in quick succession, and check that they give nothing up

The soak stopped one host at a time, with calm around it, and found a cut connection alone, not a 502 or 504 of ours for a request that an upstream was running.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -15,6 +15,9 @@
 WINDOW_S = 10
 ROLLBACK_SLACK_S = 0.25
 NOT_RUN = frozenset((408, 421, 429, 503))
+GIVEN_UP = frozenset((502, 504))
+# Part of its time after which a request may run out of it.
+EARLY_SHARE = 0.7
 
 Check = Callable[[Record], Iterator[str]]
 
@@ -149,6 +152,21 @@
                 yield f'{sent.request_id} was cut off by a planned stop'
 
 
+def _planned_stops_give_up_nothing(record: Record) -> Iterator[str]:
+    runs_by_id = record.runs_by_id()
+    for stop in record.stops:
+        for sent in record.sent_by_id.values():
+            is_failed = sent.status in GIVEN_UP
+            if sent.process != stop.process or not is_failed:
+                continue
+            waited_ms = (sent.ended_at - sent.sent_at) * 1000
+            if waited_ms > sent.deadline_ms * EARLY_SHARE:
+                continue
+            is_in_stop = stop.began_at < sent.ended_at < stop.ended_at
+            if is_in_stop and sent.request_id in runs_by_id:
+                yield f'{sent.request_id} was given up in a planned stop'
+
+
 CHECKS: tuple[Check, ...] = (
     _at_most_once,
     _refusals_are_true,
@@ -159,4 +177,5 @@
     _repeats_are_bounded,
     _configuration_never_goes_back,
     _planned_stops_cut_nothing,
+    _planned_stops_give_up_nothing,
 )
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -7,6 +7,7 @@
 HOSTS = ('h0', 'h1', 'h2', 'h3')
 SEGMENT_S = 6.0
 CALM_S = 2.5
+ROLL_GAP_S = 0.3
 PLANNED_SHARE = 0.3
 MOST_AT_ONCE = 4
 
@@ -141,16 +142,20 @@
 def schedule(seed: int, length_s: float) -> list[Timed]:
     """Return the faults of a soak, in order of time.
 
-    Segments of overlapping faults alternate with planned stops that come
-    alone, with calm before them.
+    Segments of overlapping faults alternate with planned stops of one host
+    or of several in quick succession, with calm before them.
     """
     rng = random.Random(seed)
     timed: list[Timed] = []
     start_s = float(1)
     while start_s < length_s:
         if rng.random() < PLANNED_SHARE:
-            timed.append(Timed(start_s + CALM_S, Stop(rng.choice(HOSTS))))
             start_s += CALM_S
+            hosts = rng.sample(HOSTS, rng.randint(1, len(HOSTS)))
+            timed.extend(
+                Timed(start_s + number * ROLL_GAP_S, Stop(host))
+                for number, host in enumerate(hosts)
+            )
         else:
             for _ in range(rng.randint(1, MOST_AT_ONCE)):
                 at_s = start_s + rng.random() * SEGMENT_S / 2
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,7 @@
     LinkHeld,
     LinkResets,
     LinkSlow,
+    Stop,
     Timed,
     UpstreamLeaves,
     UpstreamResets,
@@ -36,6 +37,24 @@
     Timed(2.0, LinkSlow('h2', 2.0)),
     Timed(2.5, LinkResets('h3')),
 ]
+ROLL = [
+    Timed(at_s, Stop(host))
+    for first_s in (1.0, 6.0)
+    for at_s, host in (
+        (first_s, 'h0'),
+        (first_s, 'h1'),
+        (first_s + 0.5, 'h2'),
+        (first_s + 0.5, 'h3'),
+    )
+]
+SLOW_ROLL = [
+    *ROLL,
+    *(
+        Timed(at_s, UpstreamSlow(host, 1.5))
+        for at_s in (1.0, 6.0)
+        for host in ('h0', 'h1', 'h2', 'h3')
+    ),
+]
 HEADERS = {
     'tenant-id': 'w',
     'caller-service': 'mine',
@@ -63,6 +82,14 @@
         self.assertGreater(outcome.links, 0)
         self.assertGreater(outcome.served, 0)
 
+    # A run under way was given up in a series of planned stops.
+    def test_stops_in_quick_succession(self) -> None:
+        """Break nothing where all hosts stop one after the other."""
+        for timed in (ROLL, SLOW_ROLL):
+            outcome = _play(timed)
+            self.assertEqual((), outcome.broken)
+            self.assertGreater(outcome.served, 0)
+
     def test_bookings_that_are_repeated(self) -> None:
         """Find bookings that run twice where the guard is out."""
         outcome = _play(IN_FLIGHT, mutants.AT_MOST_ONCE)
@@ -98,6 +125,7 @@
             ),
             ('after a farewell', _left(_record(_sent('GET', 200)))),
             ('cut off', _stopped(_record(_sent('GET', 0)))),
+            ('given up', _stopped(_record(_sent('GET', 502, sent_at=4.5)))),
         ):
             found = broken(record)
             self.assertTrue([one for one in found if fault in one], fault)
@@ -108,10 +136,25 @@
 
 
 def _sent(
-    method: str, status: int, *, is_whole: bool = True, is_foreign: bool = False
+    method: str,
+    status: int,
+    *,
+    sent_at: float = 1,
+    is_whole: bool = True,
+    is_foreign: bool = False,
 ) -> Sent:
     return Sent(
-        'a', 'h0', 1, method, 'k', 1, 3000, 5, status, is_whole, is_foreign
+        'a',
+        'h0',
+        1,
+        method,
+        'k',
+        sent_at,
+        3000,
+        5,
+        status,
+        is_whole,
+        is_foreign,
     )
 
 
