Name what members, gossip and configuration do in the usual terms

heard, take, tell, told and any stood for a recorded version of a peer, an applied configuration, an announcement, notified listeners and a random peer. Renames alone; format, linter, types and the tests of stores, members, other writers and stops pass.

--- a/packages/daemon/src/dragonflyknot/daemon/follower.py
+++ b/packages/daemon/src/dragonflyknot/daemon/follower.py
@@ -79,7 +79,7 @@
 
     async def _follow(self) -> None:
         snapshot = await self._store.read(self._table)
-        self._reached(snapshot.version)
+        self._record_version(snapshot.version)
         self._read(snapshot)
         self._regained()
         version = snapshot.version
@@ -87,7 +87,7 @@
             await self._rest()
         while self._is_wanted():
             changes = await self._store.changes(self._table, version, WAIT_S)
-            self._reached(changes.version)
+            self._record_version(changes.version)
             if changes.rows:
                 self._changed(changes)
                 await asyncio.sleep(self._pause_s)
@@ -98,7 +98,7 @@
         loop = asyncio.get_running_loop()
         loop.call_later(random.random() * RESTORED_SPREAD_S, self.read_soon)
 
-    def _reached(self, version: StoreVersion) -> None:
+    def _record_version(self, version: StoreVersion) -> None:
         before = self._version
         self._version = version
         if before is None or version.is_comparable(before):
--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -87,12 +87,12 @@
 
     def answer(self, content: bytes) -> bytes:
         """Answer a gossip message of a peer."""
-        heard = sitewire.decode_gossip(content)
-        if heard is None:
+        received = sitewire.decode_gossip(content)
+        if received is None:
             return sitewire.encode_gossip(self._gossip())
-        self._policy.heard(heard.version)
-        self._membership.merge(heard.entries)
-        return sitewire.encode_gossip(self._reply(heard))
+        self._policy.record_peer_version(received.version)
+        self._membership.merge(received.entries)
+        return sitewire.encode_gossip(self._reply(received))
 
     async def tell_stopping(self) -> None:
         """Tell peers that this host refuses attempts until it is back.
@@ -115,7 +115,7 @@
             await asyncio.sleep(pause_s * (0.75 + random.random() / 2))
             peers = self.peers()
             if peers:
-                await self._gossip_with(self._any(peers).place)
+                await self._gossip_with(self._random_peer(peers).place)
 
     async def push_on(self) -> None:
         """Push news to some peers as it comes."""
@@ -126,7 +126,11 @@
             news = self._gossip(self._to_push.values())
             self._to_push.clear()
             peers = self.peers()
-            chosen = {self._any(peers).place for _ in range(PUSHED_TO) if peers}
+            chosen = {
+                self._random_peer(peers).place
+                for _ in range(PUSHED_TO)
+                if peers
+            }
             await asyncio.gather(*(self._push(one, news) for one in chosen))
 
     def _gossip(
@@ -140,34 +144,34 @@
             wants=tuple(wants)[:MAX_ENTRIES],
         )
 
-    def _reply(self, heard: sitewire.SiteGossip) -> sitewire.SiteGossip:
+    def _reply(self, received: sitewire.SiteGossip) -> sitewire.SiteGossip:
         own = self._view.entries_by_host
-        wanted = (own[host] for host in heard.wants if host in own)
+        wanted = (own[host] for host in received.wants if host in own)
         reply = self._gossip(wanted)
         digest = self._view.digest()
-        if not heard.digest:
+        if not received.digest:
             return reply
-        is_same = heard.digest == digest
+        is_same = received.digest == digest
         if is_same:
             self._membership.settle()
         stamps = None if is_same else self._view.stamps()
         return replace(reply, digest=digest, stamps=stamps)
 
     async def _push(self, place: Place, news: sitewire.SiteGossip) -> None:
-        if await self._tell(place, news) is None:
+        if await self._send(place, news) is None:
             _log.debug('news_not_pushed', peer=place.host)
 
     async def _gossip_with(self, place: Place) -> None:
         probe = replace(self._gossip(), digest=self._view.digest())
-        heard = await self._tell(place, probe)
-        if heard is None:
+        received = await self._send(place, probe)
+        if received is None:
             self._unreached(place)
             return
         self.unreached_since_by_host.pop(place.host, None)
-        if heard.stamps is None:
+        if received.stamps is None:
             self._membership.settle()
         else:
-            await self._exchange(place, heard.stamps)
+            await self._exchange(place, received.stamps)
 
     async def _exchange(self, place: Place, stamps: Stamps) -> None:
         for host in self._view.removed_elsewhere(stamps):
@@ -175,9 +179,9 @@
         entries = self._view.newer_than(stamps)
         wants = self._view.outdated_hosts(stamps)
         if entries or wants:
-            await self._tell(place, self._gossip(entries, wants))
+            await self._send(place, self._gossip(entries, wants))
 
-    async def _tell(
+    async def _send(
         self, place: Place, message: sitewire.SiteGossip
     ) -> sitewire.SiteGossip | None:
         """Send a message; return the answer, None where there is none."""
@@ -189,11 +193,11 @@
                 )
         except (LinkLost, TimeoutError):
             return None
-        heard = sitewire.decode_gossip(reply)
-        if heard is not None:
-            self._policy.heard(heard.version)
-            self._membership.merge(heard.entries)
-        return heard
+        received = sitewire.decode_gossip(reply)
+        if received is not None:
+            self._policy.record_peer_version(received.version)
+            self._membership.merge(received.entries)
+        return received
 
     async def _tell_stopping_to(self, peer: SiteEntry) -> None:
         try:
@@ -214,7 +218,7 @@
         now = time.monotonic()
         self.unreached_since_by_host.setdefault(place.host, now)
 
-    def _any(self, peers: list[SiteEntry]) -> SiteEntry:
+    def _random_peer(self, peers: list[SiteEntry]) -> SiteEntry:
         near = [
             one for one in peers if one.place.region == self._settings.region
         ]
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -162,7 +162,7 @@
                 self.gate,
                 self.links,
                 self.balancer,
-                self.policy.heard,
+                self.policy.record_peer_version,
             ),
             origins=self.gate,
             dialect=self.platform.dialect,
@@ -178,7 +178,7 @@
             self._control,
             self.platform.dialect.request_id,
             lambda: self.policy.version,
-            self.policy.heard,
+            self.policy.record_peer_version,
         )
         self._caller_limits = Limits()
         peers = Limits(head_bytes=65536, idle_s=PEER_IDLE_S)
@@ -230,7 +230,7 @@
         upstream = self.register.current
         if upstream is None:
             return
-        written = self.members.tell(upstream)
+        written = self.members.announce(upstream)
         if upstream.state is UpstreamState.READY:
             return
         try:
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -103,7 +103,7 @@
             if not entry.is_gone
         ]
 
-    def tell(self, upstream: Upstream) -> asyncio.Future[None]:
+    def announce(self, upstream: Upstream) -> asyncio.Future[None]:
         """Announce the own upstream; the future is done once it is stored."""
         settings = self._settings
         entry = SiteEntry(
@@ -146,7 +146,7 @@
             self._write_again()
             return
         self._balancer.remove(host)
-        self._told_listeners()
+        self._notify_listeners()
 
     def merge(self, entries: Iterable[SiteEntry]) -> None:
         """Merge the entries of a peer or of the table."""
@@ -162,7 +162,7 @@
         """Note that this process has learnt which hosts there are."""
         if not self._is_settled:
             self._is_settled = True
-            self._told_listeners()
+            self._notify_listeners()
 
     async def run(self) -> None:
         """Keep up until cancelled."""
@@ -248,9 +248,9 @@
         for entry in entries:
             self._balancer.update(entry.place)
         self.gossip.publish(entries)
-        self._told_listeners()
+        self._notify_listeners()
 
-    def _told_listeners(self) -> None:
+    def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener()
 
--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -27,7 +27,7 @@
 FETCH_S: Final = 0.6
 FETCH_PAUSE_S: Final = 0.1
 MAX_FETCHES: Final = 20
-TOLD_S: Final = 2.0
+PEER_VERSION_VALID_S: Final = 2.0
 _log = structlog.get_logger(__name__)
 
 
@@ -47,13 +47,13 @@
         self._follower = TableFollower(
             platform.store,
             platform.configuration_row.table,
-            self._take_all,
-            self._take_all,
+            self._apply_rows,
+            self._apply_rows,
         )
         self._listeners: list[Callable[[SiteConfiguration], None]] = []
         self._installed = asyncio.Event()
         self._wanted = 0
-        self._told_at = float('-inf')
+        self._peer_version_at = float('-inf')
         self._newer = asyncio.Event()
         self.configuration: SiteConfiguration | None = None
         self.routes = SiteRoutes(SiteConfiguration(0))
@@ -75,16 +75,18 @@
         """Tell whether no newer version can be in force for long."""
         if self._wanted > self.version:
             return False
-        is_told = time.monotonic() - self._told_at < TOLD_S
-        return self._follower.is_current or is_told
+        is_recent = (
+            time.monotonic() - self._peer_version_at < PEER_VERSION_VALID_S
+        )
+        return self._follower.is_current or is_recent
 
     def subscribe(self, listener: Callable[[SiteConfiguration], None]) -> None:
         """Call a listener with each configuration that is installed."""
         self._listeners.append(listener)
 
-    def heard(self, version: int) -> None:
-        """Take a version that a peer has in force."""
-        self._told_at = time.monotonic()
+    def record_peer_version(self, version: int) -> None:
+        """Record the version that a peer has in force."""
+        self._peer_version_at = time.monotonic()
         if version > self._wanted and version > self.version:
             self._wanted = version
             self._newer.set()
@@ -101,7 +103,7 @@
             group.create_task(keep_running(self._follower.run))
             group.create_task(keep_running(self._catch_up))
 
-    def take(self, content: bytes) -> bool:
+    def apply_content(self, content: bytes) -> bool:
         """Install a configuration unless it is older; return whether."""
         match self._platform.decode_configuration(content):
             case Err(fault):
@@ -129,15 +131,15 @@
         self._installed.set()
         return True
 
-    def _take_all(self, snapshot: Snapshot) -> None:
+    def _apply_rows(self, snapshot: Snapshot) -> None:
         for row in snapshot.rows:
-            self._take_row(row)
+            self._apply_row(row)
 
-    def _take_row(self, row: VersionedRow) -> None:
+    def _apply_row(self, row: VersionedRow) -> None:
         if row.key != self._platform.configuration_row.key:
             return
         if row.content is not None:
-            self.take(row.content)
+            self.apply_content(row.content)
 
     async def _catch_up(self) -> None:
         while True:
@@ -176,4 +178,4 @@
             address, sitewire.CONFIGURATION_PATH, b''
         )
         if content:
-            self.take(content)
+            self.apply_content(content)
--- a/tests/platform/test_site_store.py
+++ b/tests/platform/test_site_store.py
@@ -74,7 +74,7 @@
                 host = fleet.hosts[0]
                 fleet.store.write('op', 'config', configuration(5))
                 await fleet.until(lambda: host.policy.version == 5)
-                self.assertFalse(host.policy.take(configuration(4)))
+                self.assertFalse(host.policy.apply_content(configuration(4)))
                 self.assertEqual(5, host.policy.version)
 
         run_async(body())
