--- a/packages/callers/src/dragonflyknot/callers/hedging.py
+++ b/packages/callers/src/dragonflyknot/callers/hedging.py
@@ -6,18 +6,17 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, Final
+from typing import Any
 
 from dragonflyknot.callers.attempttimer import AttemptTimer
 from dragonflyknot.exchange.outcomes import (
+    MIN_SERVER_ERROR_STATUS,
     Answered,
     MayHaveRun,
     NotRun,
     Outcome,
 )
 
-MIN_SERVER_ERROR_STATUS: Final = 500
-
 Hedge = Coroutine[Any, Any, Outcome]
 
 
--- a/packages/exchange/src/dragonflyknot/exchange/outcomes.py
+++ b/packages/exchange/src/dragonflyknot/exchange/outcomes.py
@@ -7,6 +7,7 @@
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.exchange.links import CRLF, Body
 
+MIN_SERVER_ERROR_STATUS: Final = 500
 _SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 
 
--- a/packages/upstreams/src/dragonflyknot/upstreams/answerreading.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/answerreading.py
@@ -20,6 +20,7 @@
 from dragonflyknot.exchange.dialect import HOP_HEADERS, Dialect
 from dragonflyknot.exchange.linkpool import LinkPool
 from dragonflyknot.exchange.outcomes import (
+    MIN_SERVER_ERROR_STATUS,
     Answered,
     MayHaveRun,
     NotRun,
@@ -31,7 +32,6 @@
 # Part of the keep-alive timeout of the upstream after which links close.
 KEEP_ALIVE_SHARE: Final = 0.7
 MISDIRECTED_REQUEST_STATUS: Final = 421
-MIN_SERVER_ERROR_STATUS: Final = 500
 # After so many answers to other requests, the link is closed.
 MAX_SKIPPED_ANSWERS: Final = 8
 MAX_KEEP_ALIVE_DIGITS: Final = 9
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -9,8 +9,6 @@
 import time
 from typing import Final
 
-import structlog
-
 from dragonflyknot.decisions.balancer import Load
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.origins import Origin, RunningRequests
@@ -48,7 +46,6 @@
 MAX_CALL_WAIT_SHARE: Final = 0.4
 USABLE_SHARE: Final = 0.94
 MIN_RESERVING_SLOTS: Final = 8
-_log = structlog.get_logger(__name__)
 
 
 class SiteGate:
