--- a/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
+++ b/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
@@ -78,7 +78,11 @@
     def host_query(self) -> HostQuery:
         """Return the requirements for the host of the next attempt."""
         return HostQuery(
-            self.service, self.route.name, self.excluded_hosts, self.only_hosts
+            self.service,
+            self.route.name,
+            self.excluded_hosts,
+            self.only_hosts,
+            self.route.has_large_bodies,
         )
 
     @property
--- a/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
@@ -48,6 +48,7 @@
         return {
             'host': host.settings.host,
             'is_ready': host.is_ready,
+            'not_ready_reason': host.not_ready_reason,
             'version': host.policy.version,
             'is_current': host.policy.is_current,
             'upstream': None if upstream is None else upstream.instance,
@@ -92,10 +93,17 @@
         yield f'dragonflyknot_gate_running {load.running}'
         yield f'dragonflyknot_gate_waiting {load.waiting}'
         yield f'dragonflyknot_gate_slots {load.slots}'
-        yield f'dragonflyknot_configuration_version {host.policy.version}'
         yield f'dragonflyknot_members {len(host.members.entries())}'
+        yield from self._configuration_lines()
         yield from _histogram(counts.latency)
 
+    def _configuration_lines(self) -> Iterator[str]:
+        policy = self._host.policy
+        yield f'dragonflyknot_configuration_version {policy.version}'
+        yield f'dragonflyknot_configurations_refused {policy.refused}'
+        unknown_words = len(policy.unknown_words)
+        yield f'dragonflyknot_configuration_unknown_words {unknown_words}'
+
 
 def _histogram(histogram: telemetry.Histogram) -> Iterator[str]:
     total = 0
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -101,10 +101,21 @@
         """Close everything in reverse order."""
         await self._stack.aclose()
 
+    @property
+    def not_ready_reason(self) -> str:
+        """Return why callers can't be served, empty if they can."""
+        if self.is_draining:
+            return 'the host is stopping'
+        if self.policy.configuration is not None:
+            return ''
+        if self.policy.fault:
+            return f'the configuration is malformed: {self.policy.fault}'
+        return 'no configuration has arrived yet'
+
     @property
     def is_ready(self) -> bool:
         """Tell whether callers can be served."""
-        return self.policy.configuration is not None and not self.is_draining
+        return not self.not_ready_reason
 
     @property
     def in_flight(self) -> int:
--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -18,7 +18,11 @@
 from dragonflyknot.daemon.follower import TableFollower
 from dragonflyknot.daemon.sitesettings import SitePlatform
 from dragonflyknot.daemon.tasks import keep_running
-from dragonflyknot.decisions.siteconfig import SiteConfiguration, SiteRoutes
+from dragonflyknot.decisions.siteconfig import (
+    SiteConfiguration,
+    SiteRoutes,
+    UnknownWord,
+)
 from dragonflyknot.exchange.clientlink import LinkLost
 from dragonflyknot.peers import sitewire
 from dragonflyknot.peers.sitelinks import PeerLinks
@@ -32,7 +36,11 @@
 
 
 class SitePolicy:
-    """Follow the configuration of the site."""
+    """Follow the configuration of the site.
+
+    `refused` counts the malformed configurations; `fault` describes the last
+    one until another is installed.
+    """
 
     def __init__(
         self,
@@ -55,6 +63,8 @@
         self._wanted = 0
         self._peer_version_at = float('-inf')
         self._newer = asyncio.Event()
+        self.refused = 0
+        self.fault = ''
         self.configuration: SiteConfiguration | None = None
         self.routes = SiteRoutes(SiteConfiguration(0))
         self.content = b''
@@ -65,6 +75,12 @@
         configuration = self.configuration
         return 0 if configuration is None else configuration.version
 
+    @property
+    def unknown_words(self) -> tuple[UnknownWord, ...]:
+        """Return the words in force that this release does not know."""
+        configuration = self.configuration
+        return () if configuration is None else configuration.unknown_words
+
     @property
     def has_store(self) -> bool:
         """Tell whether the store serves this host."""
@@ -108,6 +124,8 @@
         match self._platform.decode_configuration(content):
             case Err(fault):
                 _log.error('configuration_malformed', fault=fault)
+                self.refused += 1
+                self.fault = fault
                 return False
             case Ok(configuration):
                 return self._install(configuration, content)
@@ -123,6 +141,14 @@
             before=self.version,
             routes=len(configuration.routes),
         )
+        for unknown in configuration.unknown_words:
+            _log.warning(
+                'configuration_word_unknown',
+                version=configuration.version,
+                field=unknown.field,
+                word=unknown.word,
+            )
+        self.fault = ''
         self.configuration = configuration
         self.routes = SiteRoutes(configuration)
         self.content = content
--- a/packages/decisions/src/dragonflyknot/decisions/balancer.py
+++ b/packages/decisions/src/dragonflyknot/decisions/balancer.py
@@ -60,6 +60,9 @@
     FAR = 0.08
 
 
+NEAREST_S: Final[float] = Distance.DATA_CENTER.value
+
+
 @unique
 class Ending(Enum):
     """Classify how an attempt ended, as seen by the sender."""
@@ -106,13 +109,15 @@
     """Describe which hosts are eligible for an attempt.
 
     Hosts in `tried` are excluded. If `within` is not empty, only its hosts
-    are eligible.
+    are eligible. `has_large_bodies` keeps an attempt at the nearest hosts
+    that have room.
     """
 
     service: str
     route: str
     tried: set[str]
     within: frozenset[str] = frozenset()
+    has_large_bodies: bool = False
 
     def admits(self, host: str) -> bool:
         """Tell whether a host is eligible."""
@@ -322,10 +327,11 @@
         available = [
             candidate for candidate in ready if candidate.backoff_until <= now
         ]
+        eligible = available or ready
+        if query.has_large_bodies:
+            eligible = _nearest_with_room(eligible, now) or eligible
         service_mean_s = self._service_mean_s(query.service, query.route, now)
-        return _pick_cheapest(
-            available or ready, query.route, service_mean_s, now, rng
-        )
+        return _pick_cheapest(eligible, query.route, service_mean_s, now, rng)
 
     def has_other(self, query: HostQuery) -> bool:
         """Tell whether an eligible host is ready."""
@@ -415,6 +421,21 @@
         return Distance.REGION if place.region == self._region else Distance.FAR
 
 
+def _nearest_with_room(
+    candidates: list[Candidate], now: float
+) -> list[Candidate]:
+    """Return the candidates with room at the shortest distance."""
+    roomy = [candidate for candidate in candidates if candidate.has_room(now)]
+    nearest_s = min(
+        (candidate.distance.value for candidate in roomy), default=0
+    )
+    return [
+        candidate
+        for candidate in roomy
+        if candidate.distance.value <= max(nearest_s, NEAREST_S)
+    ]
+
+
 def _pick_cheapest(
     candidates: list[Candidate],
     route: str,
--- a/packages/decisions/src/dragonflyknot/decisions/siteconfig.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteconfig.py
@@ -31,7 +31,7 @@
     `timeout_s` is the maximum time to the final response for a caller,
     `target_latency_s` the latency within which a response is worth most.
     `max_attempts` is the maximum number of upstreams that one request may run
-    on.
+    on. `has_large_bodies` tells that requests or responses are large.
     """
 
     name: str
@@ -44,6 +44,7 @@
     parts: tuple[WeightedService, ...]
     max_attempts: int = 1
     open: bool = False
+    has_large_bodies: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,9 +81,21 @@
     idle_s: float = 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownWord:
+    """Name a field of the configuration and a value unknown to this release."""
+
+    field: str
+    word: str
+
+
 @dataclass(frozen=True, slots=True)
 class SiteConfiguration:
-    """Hold one version of the configuration of a site."""
+    """Hold one version of the configuration of a site.
+
+    `unknown_words` are values that this release does not know; what they
+    belong to is treated with the most care.
+    """
 
     version: int
     routes: tuple[SiteRoute, ...] = ()
@@ -92,6 +105,7 @@
     )
     workspace_by_key: Mapping[str, str] = field(default_factory=dict)
     limits: SiteLimits = SiteLimits()
+    unknown_words: tuple[UnknownWord, ...] = ()
 
     @property
     def needs_keys(self) -> bool:
--- a/packages/peers/src/dragonflyknot/peers/demandwire.py
+++ b/packages/peers/src/dragonflyknot/peers/demandwire.py
@@ -1,6 +1,7 @@
 """JSON messages between the daemons of a site and the meter of the rates.
 
-For compatibility between versions, unknown fields are ignored.
+For compatibility between versions, unknown fields and further numbers of a
+workspace are ignored.
 """
 
 import json
@@ -96,9 +97,9 @@
 
 def _decode_pairs(record: Fields) -> Iterator[tuple[str, float, float]]:
     for workspace in record.names():
-        numbers = record.numbers(workspace)
-        if len(numbers) != 2 or max(map(abs, numbers)) > MAX_PER_S:
+        numbers = record.numbers(workspace)[:2]
+        if len(numbers) < 2 or max(map(abs, numbers)) > MAX_PER_S:
             raise FieldFault(
-                'pair', f'must be two numbers within {MAX_PER_S:.0f}'
+                'pair', f'must start with two numbers within {MAX_PER_S:.0f}'
             )
-        yield workspace, *numbers
+        yield workspace, numbers[0], numbers[1]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -138,6 +138,16 @@
             case Err(fault):
                 self.fail(fault)
 
+    # Guards against a process that does not start for a setting it need not
+    # know.
+    def test_settings_of_another_release(self) -> None:
+        """Ignore an unknown field, word, bound and table."""
+        text = SETTINGS.replace(
+            'bounds = [', 'contracts = ["of-tomorrow"]\nbounds = ["new=5 h",'
+        )
+        self.path.write_text(f'{text}\n[of_tomorrow]\nfield = 1\n')
+        self.assertTrue(read_settings(self.path).is_ok())
+
     def test_faults_name_the_file(self) -> None:
         """Name the file and the field that is missing or malformed."""
         for text, named in (
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -139,3 +139,57 @@
         for number in range(30):
             self.balancer.update(place(f'host-{number}'))
         self.assertGreater(len(self.send_open_attempts(120)), 25)
+
+
+class LargeBodiesTest(testtools.TestCase):
+    """Large bodies cross the slow link only when nobody nearer has room."""
+
+    def setUp(self) -> None:
+        """Know hosts in the own data center, the own region and another."""
+        super().setUp()
+        self.balancer = Balancer('own', 'a', 'north')
+        self.rng = random.Random(3)
+        for name in ('near-1', 'near-2'):
+            self.balancer.update(place(name))
+        for name in ('region-1', 'region-2'):
+            self.balancer.update(place(name, 'b'))
+        for number in range(8):
+            self.balancer.update(place(f'far-{number}', 'z', 'south'))
+
+    def hosts_of(self, attempts: int, *tried: str) -> set[str]:
+        """Send attempts that do not end; return where they went."""
+        hosts: set[str] = set()
+        for _attempt in range(attempts):
+            query = HostQuery(
+                'service', 'route', set(tried), has_large_bodies=True
+            )
+            candidate = self.balancer.choose(query, 0, self.rng)
+            assert candidate is not None
+            candidate.in_flight += 1
+            hosts.add(candidate.place.host)
+        return hosts
+
+    # Guards against downloads that fill the link between regions.
+    def test_slow_hosts_nearby_are_used_first(self) -> None:
+        """Stay near, however much faster a far host answers."""
+        for name in ('near-1', 'near-2', 'region-1', 'region-2'):
+            candidate = self.balancer.candidate(name)
+            assert candidate is not None
+            candidate.record_end(Ending.DONE, 'route', -2, 0)
+        self.assertEqual({'near-1', 'near-2'}, self.hosts_of(8))
+
+    def test_order_of_distances(self) -> None:
+        """Fill the own data center, then the region, then the rest."""
+        near = {'near-1', 'near-2'}
+        region = {'region-1', 'region-2'}
+        self.assertEqual(near, self.hosts_of(10))
+        self.assertEqual(region, self.hosts_of(10) - near)
+        self.assertNotEqual(set(), self.hosts_of(10) - near - region)
+
+    # Guards against a second try across the link beside a nearer free host.
+    def test_retry_stays_near(self) -> None:
+        """Repeat at the nearest host that was not tried."""
+        self.assertEqual({'near-2'}, self.hosts_of(1, 'near-1'))
+        self.assertLessEqual(
+            self.hosts_of(2, 'near-1', 'near-2'), {'region-1', 'region-2'}
+        )
