Let a few hosts follow the configuration, and tell the others

Cause: every host followed the feed of the configuration, read it at each start and each change, and read the hosts' table each 8 to 23 s; hosts that the store turned away retried both.

Change: three hosts of each region follow both feeds. Who installs a version tells some peers at once; they fetch it from there, deflated, and tell others. A starting host reads the table of hosts once, asks two near peers for the version, and asks the store only where no peer has one. A restart whose upstream has not changed writes nothing. Standbys check on the followers once a second and take over from those that do not answer or have lost the store; a host that hears from nobody follows by itself. Messages carry the epoch of the store, so that hosts without calls of their own notice a restored store. Stamps are compared by buckets of hosts.

Also: a host was removed 15 s after one contact failed, though it had answered others since; on large sites nobody asks it again in that time. It is asked once more before it is removed (test_host_that_answers_again).

--- a/packages/daemon/src/dragonflyknot/daemon/follower.py
+++ b/packages/daemon/src/dragonflyknot/daemon/follower.py
@@ -2,12 +2,13 @@
 
 The rows are read once and then followed by the feed. Where the history is
 lost, the store was out or it was restored from an older copy, they are read
-again. A host that need not follow reads them now and then instead.
+again. A host that need not follow reads them only when it is asked to.
 """
 
 import asyncio
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Final
 
 import structlog
@@ -21,7 +22,7 @@
 )
 
 WAIT_S: Final = 29.0
-RARE_READ_S: Final = 15.0
+REST_S: Final = 0.5
 BACKOFF_S: Final = 0.3
 LONGEST_BACKOFF_S: Final = 1.5
 # Hosts that do not follow the feed read a restored store one after another.
@@ -30,7 +31,11 @@
 
 
 class TableFollower:
-    """Keep up with one table; tell whole snapshots and changes apart."""
+    """Keep up with one table; tell whole snapshots and changes apart.
+
+    `is_current` tells whether the feed is followed and answers, and
+    `is_reachable` whether the last call was answered.
+    """
 
     def __init__(
         self,
@@ -57,34 +62,45 @@
         self._version: StoreVersion | None = None
         self._failures = 0
         self.is_current = False
+        self.is_reachable = True
         store.subscribe(self._restored)
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
             try:
-                await self._follow()
+                await self._keep_up()
             except HistoryLost:
                 _log.info('history_lost', table=self._table)
             except StoreOut as out:
                 await self._back_off(out)
 
     def read_soon(self) -> None:
-        """Read the rows again, unless the feed is followed."""
+        """Read the rows once more, unless the feed is followed."""
         self._due.set()
 
+    def cancel_read(self) -> None:
+        """Drop a read that was asked for and has not been answered yet."""
+        self._due.clear()
+
     async def refresh(self) -> None:
         """Read the rows once more. Raise StoreOut."""
         self._read(await self._store.read(self._table))
 
-    async def _follow(self) -> None:
-        snapshot = await self._store.read(self._table)
-        self._record_version(snapshot.version)
-        self._read(snapshot)
-        self._regained()
-        version = snapshot.version
-        if not self._is_wanted():
+    async def _keep_up(self) -> None:
+        if self._is_wanted():
+            try:
+                await self._follow()
+            finally:
+                self._set_current(is_current=False)
+        elif self._due.is_set():
+            await self._read_rows()
+        else:
             await self._rest()
+
+    async def _follow(self) -> None:
+        version = (await self._read_rows()).version
+        self._set_current(is_current=True)
         while self._is_wanted():
             changes = await self._store.changes(self._table, version, WAIT_S)
             self._record_version(changes.version)
@@ -94,6 +110,19 @@
             if changes.version.number > version.number:
                 version = changes.version
 
+    async def _read_rows(self) -> Snapshot:
+        snapshot = await self._store.read(self._table)
+        self._due.clear()
+        self._record_version(snapshot.version)
+        self._read(snapshot)
+        self._regained()
+        return snapshot
+
+    def _set_current(self, *, is_current: bool) -> None:
+        if is_current != self.is_current:
+            _log.info('following', table=self._table, is_following=is_current)
+        self.is_current = is_current
+
     def _restored(self) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(random.random() * RESTORED_SPREAD_S, self.read_soon)
@@ -113,23 +142,20 @@
         )
 
     async def _rest(self) -> None:
-        self._due.clear()
-        try:
-            async with asyncio.timeout(RARE_READ_S * (0.5 + random.random())):
+        with suppress(TimeoutError):
+            async with asyncio.timeout(REST_S * (0.5 + random.random())):
                 await self._due.wait()
-        except TimeoutError:
-            return
 
     def _regained(self) -> None:
         if self._failures:
             _log.info('store_regained', table=self._table)
         self._failures = 0
-        self.is_current = True
+        self.is_reachable = True
 
     async def _back_off(self, out: StoreOut) -> None:
         if not self._failures:
             _log.warning('store_lost', table=self._table, reason=out.reason)
-        self.is_current = False
+        self.is_reachable = False
         self._failures += 1
         longest = min(LONGEST_BACKOFF_S, BACKOFF_S * self._failures)
         await asyncio.sleep(longest * (0.5 + random.random() / 2))
--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -1,7 +1,9 @@
 """Gossip with other hosts about the hosts of the site.
 
 News are pushed to some peers at once, and one comparison with a random peer a
-second finds what that missed. Both go on while the store is out.
+second finds what that missed. So is the version of a new configuration, which
+peers then fetch. All go on while the store is out. Standbys also check on the
+hosts that follow the store for their region.
 """
 
 import asyncio
@@ -16,6 +18,7 @@
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SiteSettings
 from dragonflyknot.decisions.balancer import Place
+from dragonflyknot.decisions.followers import FollowerChoice
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
 from dragonflyknot.exchange.clientlink import LinkLost
 from dragonflyknot.peers import sitewire
@@ -24,11 +27,15 @@
 GOSSIP_INTERVAL_S: Final = 1.0
 GOSSIP_INTERVAL_WITHOUT_STORE_S: Final = 0.35
 GOSSIP_TIMEOUT_S: Final = 0.5
+CHECK_INTERVAL_S: Final = 1.0
 SAME_REGION_SHARE: Final = 0.75
 MAX_ENTRIES: Final = 200
-MAX_TOLD_PEERS: Final = 256
+MAX_TOLD_PEERS: Final = 64
 PUSH_DELAY_S: Final = 0.1
-PUSHED_TO: Final = 2
+PUSHED_TO: Final = 3
+VERSION_PUSHED_NEAR: Final = 3
+VERSION_PUSHED_ANYWHERE: Final = 1
+GREETED_PEERS: Final = 2
 _log = structlog.get_logger(__name__)
 
 
@@ -44,12 +51,26 @@
     def settle(self) -> None:
         """Note that a peer knows the same hosts."""
 
+    async def first_known(self) -> None:
+        """Wait until other hosts are known, if there are any."""
+
+    @property
+    def has_store(self) -> bool:
+        """Tell whether the store answered the last call of this host."""
+
+    @property
+    def epoch(self) -> int:
+        """Return the highest epoch of the store that is known, 0 if none."""
+
+    def record_epoch(self, epoch: int) -> None:
+        """Record the epoch of the store that a peer knows."""
+
 
 class PeerGossip:
     """Exchange entries with peers.
 
     `unreached_since_by_host` holds the monotonic time since which a peer has
-    not answered.
+    not answered, `heard_at` the time of the last message of any peer.
     """
 
     def __init__(
@@ -68,7 +89,11 @@
         self._membership = membership
         self._to_push: dict[str, SiteEntry] = {}
         self._has_news = asyncio.Event()
+        self._has_version = asyncio.Event()
+        self.followers = FollowerChoice(settings.host, settings.region)
+        policy.subscribe(lambda _configuration: self._has_version.set())
         self.unreached_since_by_host: dict[str, float] = {}
+        self.heard_at = time.monotonic()
 
     def publish(self, entries: Iterable[SiteEntry]) -> None:
         """Push changed entries to some peers soon."""
@@ -90,23 +115,39 @@
         received = sitewire.decode_gossip(content)
         if received is None:
             return sitewire.encode_gossip(self._gossip())
-        self._policy.record_peer_version(received.version)
-        self._membership.merge(received.entries)
+        self._learn(received)
         return sitewire.encode_gossip(self._reply(received))
 
     async def tell_stopping(self) -> None:
         """Tell peers that this host refuses attempts until it is back.
 
-        A peer that is not told learns of it by its first refused attempt.
+        The nearest ones are told, which send most attempts here. A peer that
+        is not told learns of it by its first refused attempt.
         """
-        peers = self.peers()
-        told = random.sample(peers, min(MAX_TOLD_PEERS, len(peers)))
+        told = self.nearest_peers()[:MAX_TOLD_PEERS]
         await asyncio.gather(*(self._tell_stopping_to(one) for one in told))
 
+    def nearest_peers(self) -> list[SiteEntry]:
+        """Return the peers in random order, the nearest data centers first."""
+        settings = self._settings
+        peers = self.peers()
+        random.shuffle(peers)
+        return sorted(
+            peers,
+            key=lambda peer: (
+                peer.place.data_center != settings.data_center,
+                peer.place.region != settings.region,
+            ),
+        )
+
     async def compare_on(self) -> None:
         """Compare entries with a random peer at intervals."""
+        await self._membership.first_known()
+        greeted = self.nearest_peers()[:GREETED_PEERS]
+        await asyncio.gather(*(self._gossip_with(one.place) for one in greeted))
+        self._policy.record_peers_asked()
         while True:
-            is_calm = self._policy.has_store
+            is_calm = self._membership.has_store
             pause_s = (
                 GOSSIP_INTERVAL_S
                 if is_calm
@@ -117,22 +158,57 @@
             if peers:
                 await self._gossip_with(self._random_peer(peers).place)
 
+    async def check_followers_on(self) -> None:
+        """Check on the followers that this host is a standby for."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S * (0.75 + random.random() / 2))
+            checked = self.followers.hosts_to_check(
+                self._view.entries_by_host.values(), time.monotonic()
+            )
+            await asyncio.gather(
+                *(self._gossip_with(one.place) for one in checked)
+            )
+
     async def push_on(self) -> None:
         """Push news to some peers as it comes."""
         while True:
             await self._has_news.wait()
             await asyncio.sleep(PUSH_DELAY_S)
             self._has_news.clear()
+            peers = self.peers()
+            if not peers:
+                # The first peers that are known raise the event again.
+                continue
             news = self._gossip(self._to_push.values())
             self._to_push.clear()
-            peers = self.peers()
-            chosen = {
-                self._random_peer(peers).place
-                for _ in range(PUSHED_TO)
-                if peers
-            }
+            chosen = {self._random_peer(peers).place for _ in range(PUSHED_TO)}
             await asyncio.gather(*(self._push(one, news) for one in chosen))
 
+    async def push_versions_on(self) -> None:
+        """Tell some peers of each configuration that is installed."""
+        while True:
+            await self._has_version.wait()
+            self._has_version.clear()
+            nearest = self.nearest_peers()
+            told = {
+                one.place
+                for one in (
+                    *nearest[:VERSION_PUSHED_NEAR],
+                    *random.sample(
+                        nearest, min(VERSION_PUSHED_ANYWHERE, len(nearest))
+                    ),
+                )
+            }
+            news = self._gossip()
+            await asyncio.gather(*(self._push(one, news) for one in told))
+
+    async def reaches(self, host: str) -> bool:
+        """Ask a host once more; return whether it answers."""
+        entry = self._view.entries_by_host.get(host)
+        if entry is not None:
+            await self._gossip_with(entry.place)
+        return entry is not None and host not in self.unreached_since_by_host
+
     def _gossip(
         self,
         entries: Iterable[SiteEntry] = (),
@@ -142,7 +218,24 @@
             self._policy.version,
             entries=tuple(entries)[:MAX_ENTRIES],
             wants=tuple(wants)[:MAX_ENTRIES],
+            sender=self._settings.host,
+            epoch=self._membership.epoch,
+            has_store=self._membership.has_store,
+        )
+
+    def _learn(self, received: sitewire.SiteGossip) -> None:
+        """Apply what every message of a peer tells."""
+        sender = self._view.entries_by_host.get(received.sender)
+        self._policy.record_peer_version(
+            received.version, '' if sender is None else sender.place.address
         )
+        self._membership.record_epoch(received.epoch)
+        self.heard_at = time.monotonic()
+        if received.has_store:
+            self.followers.end_doubt(received.sender)
+        else:
+            self.followers.record_doubt(received.sender, self.heard_at)
+        self._membership.merge(received.entries)
 
     def _reply(self, received: sitewire.SiteGossip) -> sitewire.SiteGossip:
         own = self._view.entries_by_host
@@ -151,18 +244,22 @@
         digest = self._view.digest()
         if not received.digest:
             return reply
-        is_same = received.digest == digest
-        if is_same:
+        if received.digest == digest:
             self._membership.settle()
-        stamps = None if is_same else self._view.stamps()
-        return replace(reply, digest=digest, stamps=stamps)
+            return replace(reply, digest=digest)
+        buckets = self._view.differing_buckets(received.bucket_digests)
+        return replace(reply, digest=digest, stamps=self._view.stamps(buckets))
 
     async def _push(self, place: Place, news: sitewire.SiteGossip) -> None:
         if await self._send(place, news) is None:
             _log.debug('news_not_pushed', peer=place.host)
 
     async def _gossip_with(self, place: Place) -> None:
-        probe = replace(self._gossip(), digest=self._view.digest())
+        probe = replace(
+            self._gossip(),
+            digest=self._view.digest(),
+            bucket_digests=self._view.bucket_digests(),
+        )
         received = await self._send(place, probe)
         if received is None:
             self._unreached(place)
@@ -195,8 +292,7 @@
             return None
         received = sitewire.decode_gossip(reply)
         if received is not None:
-            self._policy.record_peer_version(received.version)
-            self._membership.merge(received.entries)
+            self._learn(received)
         return received
 
     async def _tell_stopping_to(self, peer: SiteEntry) -> None:
@@ -217,6 +313,7 @@
     def _unreached(self, place: Place) -> None:
         now = time.monotonic()
         self.unreached_since_by_host.setdefault(place.host, now)
+        self.followers.record_doubt(place.host, now)
 
     def _random_peer(self, peers: list[SiteEntry]) -> SiteEntry:
         near = [
--- a/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
@@ -95,8 +95,16 @@
         yield f'dragonflyknot_gate_slots {load.slots}'
         yield f'dragonflyknot_members {len(host.members.entries())}'
         yield from self._configuration_lines()
+        yield from self._usage_lines()
         yield from _histogram(counts.latency)
 
+    def _usage_lines(self) -> Iterator[str]:
+        store, links = self._host.platform.store, self._host.links
+        for kind, calls in sorted(store.calls_by_kind.items()):
+            yield f'dragonflyknot_store_calls{{kind="{kind}"}} {calls}'
+        for path, exchanged in sorted(links.bytes_by_kind.items()):
+            yield f'dragonflyknot_peer_bytes{{kind="{path}"}} {exchanged}'
+
     def _configuration_lines(self) -> Iterator[str]:
         policy = self._host.policy
         yield f'dragonflyknot_configuration_version {policy.version}'
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -14,7 +14,7 @@
 
 from dragonflyknot.callers.siteedge import SiteEdge
 from dragonflyknot.callers.siteedgeports import SiteEdgeCounts, SiteEdgePorts
-from dragonflyknot.daemon import siteadmin, sitestop
+from dragonflyknot.daemon import siteadmin, sitestop, siteusage
 from dragonflyknot.daemon.sitemembers import SiteMembers
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.siterates import SiteRates
@@ -65,7 +65,9 @@
         )
         self.site_retries = SiteRetryBudget(settings.retry_bound)
         self.links = PeerLinks()
-        self.policy = SitePolicy(platform, self.links, self._peers)
+        self.policy = SitePolicy(
+            platform, self.links, self._peers, self._is_follower
+        )
         self.members = SiteMembers(
             settings, platform, self.links, self.balancer, self.policy
         )
@@ -92,6 +94,7 @@
                 keep_running(self.rates.run),
                 self._restore(),
                 keep_running(self._trim),
+                siteusage.log_usage_on(self.platform.store, self.links),
             ):
                 tasks.start(work)
             self._stack = stack.pop_all()
@@ -156,6 +159,7 @@
                 self.settings.callers_leave_s, self.settings.grace_s
             ),
         )
+        siteusage.log_usage(self.platform.store, self.links)
 
     def load(self) -> Load:
         """Return the load to tell other daemons."""
@@ -213,6 +217,8 @@
                 return self.rates.answer(content)
             case sitewire.CONFIGURATION_PATH:
                 return self.policy.content
+            case sitewire.COMPRESSED_CONFIGURATION_PATH:
+                return self.policy.compressed
             case sitewire.STOPPING_PATH:
                 return self.members.answer_stopping(content)
             case _:
@@ -221,6 +227,9 @@
     def _peers(self) -> list[str]:
         return self.members.peer_addresses()
 
+    def _is_follower(self) -> bool:
+        return self.members.is_follower()
+
     def _configured(self, configuration: SiteConfiguration) -> None:
         limits = self._caller_limits
         limits.head_bytes = configuration.limits.head_bytes
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -1,9 +1,10 @@
 """Know the hosts of the site: by gossip, and by the table of the store.
 
-A host writes its row only when its upstream changes. A few hosts of each
-region follow the table; `peergossip` tells the others, and goes on while the
-store is out. Rows of hosts that left, or that nobody reaches, are removed by
-their peers under the condition that they have not changed.
+A new process reads the table once. A host writes its row only when its
+upstream changes. A few hosts of each region follow the table; `peergossip`
+tells the others, and goes on while the store is out. Rows of hosts that left,
+or that nobody reaches, are removed by their peers under the condition that
+they have not changed.
 
 A store that was restored from an older copy lacks rows, has older ones or
 brings removed ones back. Each host writes its own row again; a row that is
@@ -23,7 +24,6 @@
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.daemon.tasks import keep_running
-from dragonflyknot.decisions import followers
 from dragonflyknot.decisions.balancer import Balancer, Place
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView
 from dragonflyknot.decisions.upstreamstate import Upstream
@@ -40,7 +40,12 @@
 WRITE_PAUSE_S: Final = 0.3
 REAP_S: Final = 5.0
 LOST_AFTER_S: Final = 15.0
-FEED_PAUSE_S: Final = 0.3
+FEED_PAUSE_S: Final = 1.0
+# New processes learn who precedes them before they follow.
+FOLLOW_AFTER_S: Final = 2.5
+ISOLATED_AFTER_S: Final = 3.0
+# Hosts read a restored store one after another.
+RESTORED_SPREAD_S: Final = 2.0
 _log = structlog.get_logger(__name__)
 
 
@@ -66,16 +71,19 @@
             self._table,
             self._read,
             self._changed,
-            is_wanted=self._follows,
+            is_wanted=self.is_follower,
             pause_s=FEED_PAUSE_S,
         )
+        self._follower.read_soon()
         self._listeners: list[Callable[[], None]] = []
         self._versions_by_host: dict[str, StoreVersion] = {}
         self._has_read = asyncio.Event()
         self._is_settled = False
         self._unwritten = asyncio.Event()
         self._written: asyncio.Future[None] | None = None
-        self._restored: Upstream | None = None
+        self._own_row: bytes | None = None
+        self._epoch = 0
+        self._started_at = time.monotonic()
         self.view = SiteView(settings.host)
         self.gossip = PeerGossip(settings, links, policy, self.view, self)
 
@@ -91,9 +99,50 @@
         """
         return self._is_settled
 
+    @property
+    def has_store(self) -> bool:
+        """Tell whether the store answered the last call of this host."""
+        return self._follower.is_reachable
+
+    @property
+    def epoch(self) -> int:
+        """Return the highest epoch of the store that is known, 0 if none."""
+        return max(self._epoch, self._store.epoch or 0)
+
+    def is_follower(self) -> bool:
+        """Tell whether this host follows the store.
+
+        It does if it is one of the followers of its region, or if it hears
+        from no peer.
+        """
+        now = time.monotonic()
+        if not self._is_settled or now < self._started_at + FOLLOW_AFTER_S:
+            return False
+        if now - self.gossip.heard_at > ISOLATED_AFTER_S:
+            return True
+        return self.gossip.followers.follows(
+            self.view.entries_by_host.values(), now
+        )
+
     def peer_addresses(self) -> list[str]:
-        """Return where the daemons of other hosts listen for peers."""
-        return [one.place.address for one in self.gossip.peers()]
+        """Return where other daemons listen for peers, the nearest first."""
+        return [one.place.address for one in self.gossip.nearest_peers()]
+
+    def record_epoch(self, epoch: int) -> None:
+        """Record the epoch of the store that a peer knows.
+
+        In a new one, the own row may be lost or older.
+        """
+        if epoch > self.epoch:
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                random.random() * RESTORED_SPREAD_S, self._follower.read_soon
+            )
+        self._epoch = max(self._epoch, epoch)
+
+    async def first_known(self) -> None:
+        """Wait until other hosts are known, if there are any."""
+        await self._has_read.wait()
 
     def entries(self) -> list[SiteEntry]:
         """Return the hosts that have not left."""
@@ -119,16 +168,24 @@
             upstream.instance,
             upstream.born,
         )
-        known = self.view.own if self.view.has_published else None
-        if known is None or not _is_same(known, entry):
+        if not self.view.adopt_own(entry):
             self._news([self.view.publish(entry, _unix_ms())])
             self._written = None
+        elif self._written is None and self._is_own_row_stored():
+            # An earlier process wrote the same.
+            self._written = asyncio.get_running_loop().create_future()
+            self._written.set_result(None)
         return self._write_soon()
 
     async def restored(self) -> Upstream | None:
         """Return the upstream that an earlier process of this host knew."""
         await self._has_read.wait()
-        return self._restored
+        own = self.view.own
+        if own is None or self.view.has_published:
+            return None
+        return Upstream(
+            own.instance, own.born, own.place.state, own.place.slots
+        )
 
     def answer_stopping(self, content: bytes) -> bytes:
         """Answer a peer that stops: send it no attempts for a while."""
@@ -162,6 +219,8 @@
         """Note that this process has learnt which hosts there are."""
         if not self._is_settled:
             self._is_settled = True
+            self._has_read.set()
+            self._follower.cancel_read()
             self._notify_listeners()
 
     async def run(self) -> None:
@@ -170,18 +229,11 @@
             group.create_task(keep_running(self._follower.run))
             group.create_task(keep_running(self.gossip.compare_on))
             group.create_task(keep_running(self.gossip.push_on))
+            group.create_task(keep_running(self.gossip.push_versions_on))
+            group.create_task(keep_running(self.gossip.check_followers_on))
             group.create_task(keep_running(self._write_on))
             group.create_task(keep_running(self._reap_on))
 
-    def _follows(self) -> bool:
-        settings = self._settings
-        return followers.follows(
-            settings.host,
-            settings.region,
-            self.view.entries_by_host.values(),
-            set(self.gossip.unreached_since_by_host),
-        )
-
     def _read(self, snapshot: Snapshot) -> None:
         keys = {row.key for row in snapshot.rows}
         for host, version in tuple(self._versions_by_host.items()):
@@ -214,12 +266,14 @@
             self._restore_row(row.key, row.content)
             return None
         self._versions_by_host[row.key] = row.version
-        if row.key == self._settings.host and self.view.own is None:
-            self._restored = Upstream(
-                entry.instance, entry.born, entry.place.state, entry.place.slots
-            )
+        if row.key == self._settings.host:
+            self._own_row = row.content
         return entry
 
+    def _is_own_row_stored(self) -> bool:
+        own = self.view.own
+        return own is not None and self._own_row == sitewire.encode_entry(own)
+
     def _keep_own_row(self, snapshot: Snapshot) -> None:
         """Write the own row again if the store has lost it or has an older."""
         own, written = self.view.own, self._written
@@ -282,7 +336,10 @@
                 await asyncio.sleep(WRITE_PAUSE_S * (1 + random.random()))
                 continue
             if own == self.view.own:
-                self._follower.read_soon()
+                if not self.gossip.peers():
+                    # Of two hosts that start together, the later one to
+                    # write reads about the other.
+                    self._follower.read_soon()
                 if written is not None and not written.done():
                     written.set_result(None)
                 return
@@ -294,48 +351,56 @@
                 await self._reap(host)
 
     def _dead(self) -> list[str]:
+        """Return the hosts that did not answer for long."""
         unreached = self.gossip.unreached_since_by_host
         # A host that reaches few others may be cut off itself.
-        if 2 * len(unreached) > len(self.gossip.peers()):
+        if not self.has_store or 2 * len(unreached) > len(self.gossip.peers()):
             return []
         oldest = time.monotonic() - LOST_AFTER_S
-        return [
-            host
-            for host, since in unreached.items()
-            if since < oldest and self._policy.has_store
-        ]
+        return [host for host, since in unreached.items() if since < oldest]
 
     def _returned(self) -> list[str]:
         """Return the removed hosts whose rows are in the store again."""
-        if not self._policy.has_store or not self._follows():
+        if not self.has_store or not self.is_follower():
             return []
         known = self.view.entries_by_host
         return [host for host in self._versions_by_host if host not in known]
 
     async def _reap(self, host: str) -> None:
-        version = self._versions_by_host.get(host)
-        self.gossip.unreached_since_by_host.pop(host, None)
-        if version is None:
-            # No row tells of it any more.
-            self.remove(host)
+        if await self.gossip.reaches(host):
             return
+        known = self.view.entries_by_host.get(host)
+        self.gossip.unreached_since_by_host.pop(host, None)
         try:
+            version = await self._row_version(host)
+            if known != self.view.entries_by_host.get(host):
+                # The host has written its row in the meantime.
+                return
+            if version is None:
+                self.remove(host)
+                return
             is_done = await self._store.remove(
                 [RowName(self._table, host)], [version]
             )
         except StoreOut as out:
             _log.info('entry_not_removed', host=host, reason=out.reason)
             return
+        if not is_done:
+            self._versions_by_host.pop(host, None)
         _log.info('entry_removed', lost_host=host, done=is_done)
 
+    async def _row_version(self, host: str) -> StoreVersion | None:
+        """Return the version of a host's row, None if there is no row.
 
-def _unix_ms() -> int:
-    return int(time.time() * 1000)
+        A host that does not follow the table reads the row. Raise StoreOut.
+        """
+        version = self._versions_by_host.get(host)
+        if version is None:
+            row = await self._store.read_row(RowName(self._table, host))
+            self._changed(row)
+            version = self._versions_by_host.get(host)
+        return version
 
 
-def _is_same(known: SiteEntry, entry: SiteEntry) -> bool:
-    return (
-        known.place == entry.place
-        and known.instance == entry.instance
-        and known.born == entry.born
-    )
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -1,15 +1,18 @@
 """Hold the configuration in force and keep up with newer versions.
 
-The store's feed brings new versions. A peer that tells a higher version is
-believed in so far as the version is fetched at once: from the store, or
-from a peer where the store turns this host away or has lost that version. A
-lower version is never installed.
+A few hosts follow the store's feed. Whoever installs a version tells some
+peers at once, which fetch it and tell others in turn; each message between
+daemons names the sender's version too. A version that a peer tells is
+fetched from that peer first, and from the store where no peer has it. A lower
+version is never installed.
 """
 
 import asyncio
 import random
 import time
+import zlib
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Final
 
 import structlog
@@ -31,15 +34,24 @@
 FETCH_S: Final = 0.6
 FETCH_PAUSE_S: Final = 0.1
 MAX_FETCHES: Final = 20
+# Every so many fetches, the store is asked instead of a peer.
+STORE_FETCH_INTERVAL: Final = 3
 PEER_VERSION_VALID_S: Final = 2.0
+# How long a new process waits for peers before it asks the store.
+PEERS_ASKED_S: Final = 1.0
+FIRST_FETCH_S: Final = 0.5
+NEAR_PEERS: Final = 8
+MAX_CONFIGURATION_BYTES: Final = 8 * 1024 * 1024
+COMPRESSION_LEVEL: Final = 1
 _log = structlog.get_logger(__name__)
 
 
 class SitePolicy:
     """Follow the configuration of the site.
 
-    `refused` counts the malformed configurations; `fault` describes the last
-    one until another is installed.
+    `compressed` is its text, deflated, as peers fetch it. `refused` counts the
+    malformed configurations; `fault` describes the last one until another is
+    installed.
     """
 
     def __init__(
@@ -47,8 +59,13 @@
         platform: SitePlatform,
         links: PeerLinks,
         peers: Callable[[], list[str]],
+        is_follower: Callable[[], bool],
     ) -> None:
-        """Start without a configuration."""
+        """Start without a configuration.
+
+        `peers` returns the addresses of peers, the nearest ones first, and
+        `is_follower` tells whether this host follows the store's feed.
+        """
         self._platform = platform
         self._links = links
         self._peers = peers
@@ -57,17 +74,20 @@
             platform.configuration_row.table,
             self._apply_rows,
             self._apply_rows,
+            is_wanted=is_follower,
         )
         self._listeners: list[Callable[[SiteConfiguration], None]] = []
         self._installed = asyncio.Event()
         self._wanted = 0
+        self._source = ''
         self._peer_version_at = float('-inf')
         self._newer = asyncio.Event()
+        self._peers_asked = asyncio.Event()
         self.refused = 0
         self.fault = ''
         self.configuration: SiteConfiguration | None = None
         self.routes = SiteRoutes(SiteConfiguration(0))
-        self.content = b''
+        self.compressed = b''
 
     @property
     def version(self) -> int:
@@ -82,8 +102,13 @@
         return () if configuration is None else configuration.unknown_words
 
     @property
-    def has_store(self) -> bool:
-        """Tell whether the store serves this host."""
+    def content(self) -> bytes:
+        """Return the text of the configuration, empty before the first."""
+        return zlib.decompress(self.compressed) if self.compressed else b''
+
+    @property
+    def is_following(self) -> bool:
+        """Tell whether this host follows the feed of the store."""
         return self._follower.is_current
 
     @property
@@ -100,13 +125,21 @@
         """Call a listener with each configuration that is installed."""
         self._listeners.append(listener)
 
-    def record_peer_version(self, version: int) -> None:
-        """Record the version that a peer has in force."""
+    def record_peer_version(self, version: int, address: str = '') -> None:
+        """Record the version that a peer has in force.
+
+        `address` is where the peer listens, empty if it is not known.
+        """
         self._peer_version_at = time.monotonic()
         if version > self._wanted and version > self.version:
             self._wanted = version
+            self._source = address
             self._newer.set()
 
+    def record_peers_asked(self) -> None:
+        """Record that the first peers were asked for their versions."""
+        self._peers_asked.set()
+
     async def first(self) -> SiteConfiguration:
         """Wait for a configuration."""
         await self._installed.wait()
@@ -118,6 +151,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(keep_running(self._follower.run))
             group.create_task(keep_running(self._catch_up))
+            group.create_task(self._find_first())
 
     def apply_content(self, content: bytes) -> bool:
         """Install a configuration unless it is older; return whether."""
@@ -151,7 +185,7 @@
         self.fault = ''
         self.configuration = configuration
         self.routes = SiteRoutes(configuration)
-        self.content = content
+        self.compressed = zlib.compress(content, COMPRESSION_LEVEL)
         for listener in self._listeners:
             listener(configuration)
         self._installed.set()
@@ -167,6 +201,21 @@
         if row.content is not None:
             self.apply_content(row.content)
 
+    async def _find_first(self) -> None:
+        """Ask the store for a configuration if no peer has one."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(PEERS_ASKED_S):
+                await self._peers_asked.wait()
+        has_source = self._wanted > 0
+        while self.configuration is None:
+            if not has_source:
+                self._follower.read_soon()
+            has_source = False
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_FETCH_S):
+                    await self._installed.wait()
+        self._follower.cancel_read()
+
     async def _catch_up(self) -> None:
         while True:
             await self._newer.wait()
@@ -174,34 +223,36 @@
             fetches = 0
             while self.version < self._wanted and fetches < MAX_FETCHES:
                 fetches += 1
-                await self._fetch()
+                await self._fetch(fetches)
             self._wanted = self.version
 
-    async def _fetch(self) -> None:
+    async def _fetch(self, number: int) -> None:
+        """Fetch a newer version; `number` counts the fetches from 1."""
         addresses = self._peers()
+        source = self._source or _random_near(addresses)
+        self._source = ''
         try:
             async with asyncio.timeout(FETCH_S):
-                if self._follower.is_current or not addresses:
-                    await self._follower.refresh()
+                if source and number % STORE_FETCH_INTERVAL:
+                    await self._ask(source)
                 else:
-                    await self._ask(random.choice(addresses))
-        except (StoreOut, LinkLost, TimeoutError) as error:
+                    await self._follower.refresh()
+        except (StoreOut, LinkLost, TimeoutError, zlib.error) as error:
             _log.info('configuration_not_fetched', error=type(error).__name__)
-        if self.version < self._wanted and addresses:
-            await self._ask_any(addresses)
         if self.version < self._wanted:
             await asyncio.sleep(FETCH_PAUSE_S)
 
-    async def _ask_any(self, addresses: list[str]) -> None:
-        try:
-            async with asyncio.timeout(FETCH_S):
-                await self._ask(random.choice(addresses))
-        except (LinkLost, TimeoutError) as error:
-            _log.info('configuration_not_told', error=type(error).__name__)
-
     async def _ask(self, address: str) -> None:
-        content = await self._links.ask(
-            address, sitewire.CONFIGURATION_PATH, b''
+        compressed = await self._links.ask(
+            address, sitewire.COMPRESSED_CONFIGURATION_PATH, b''
         )
-        if content:
-            self.apply_content(content)
+        if compressed:
+            inflate = zlib.decompressobj()
+            self.apply_content(
+                inflate.decompress(compressed, MAX_CONFIGURATION_BYTES)
+            )
+
+
+def _random_near(addresses: list[str]) -> str:
+    """Return one of the first addresses, empty if there is none."""
+    return random.choice(addresses[:NEAR_PEERS]) if addresses else ''
--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -12,7 +12,8 @@
 which is propagated like an entry; a host that is alive replaces its own
 tombstone by an entry with a higher stamp.
 
-Two hosts compare stamps and exchange only the entries that one of them lacks.
+Two hosts compare digests of buckets of hosts. Of the buckets that differ they
+compare stamps, and exchange only the entries that one of them lacks.
 """
 
 from collections.abc import Iterable, Mapping
@@ -22,8 +23,11 @@
 
 from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.hostorder import position_of
 
 DIGEST_DIGITS: Final = 16
+BUCKETS: Final = 32
+BUCKET_DIGEST_DIGITS: Final = 6
 MAX_TOMBSTONES: Final = 500
 MAX_STAMP: Final = 10**15
 """Highest stamp taken from others; their hosts must be able to outdo it.
@@ -53,10 +57,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Stamps:
-    """Hold the stamps of entries and of tombstones, by host."""
+    """Hold the stamps of entries and of tombstones, by host.
+
+    They cover the hosts of some buckets, or all hosts if `buckets` is None.
+    """
 
     entries: Mapping[str, int]
     tombstones: Mapping[str, int]
+    buckets: frozenset[int] | None = None
+
+    def covers(self, host: str) -> bool:
+        """Tell whether the stamp of a host would be among these."""
+        return self.buckets is None or bucket_of(host) in self.buckets
+
+
+def bucket_of(host: str) -> int:
+    """Return the number of the bucket of a host."""
+    return position_of(host)[0] % BUCKETS
 
 
 class SiteView:
@@ -70,6 +87,7 @@
         self._host = host
         self.entries_by_host: dict[str, SiteEntry] = {}
         self._digest = ''
+        self._bucket_digests: tuple[str, ...] = ()
         self.has_published = False
         self._tombstones_by_host: dict[str, int] = {}
 
@@ -113,21 +131,41 @@
         known = self.entries_by_host.pop(host, None)
         if known is not None:
             self._add_tombstone(host, max(known.stamp, stamp))
-            self._digest = ''
+            self._forget_digests()
+
+    def adopt_own(self, entry: SiteEntry) -> bool:
+        """Go on with an earlier process's entry if it says the same.
 
-    def stamps(self) -> Stamps:
-        """Return the stamps to compare with another host."""
+        Return whether it does; otherwise an entry has to be published.
+        """
+        own = self.own
+        if own is None or replace(entry, stamp=own.stamp) != own:
+            return False
+        self.has_published = True
+        return True
+
+    def stamps(self, buckets: frozenset[int] | None = None) -> Stamps:
+        """Return the stamps of some buckets to compare with another host."""
+        covered = Stamps({}, {}, buckets).covers
         entries = {
-            host: entry.stamp for host, entry in self.entries_by_host.items()
+            host: entry.stamp
+            for host, entry in self.entries_by_host.items()
+            if covered(host)
+        }
+        tombstones = {
+            host: stamp
+            for host, stamp in self._tombstones_by_host.items()
+            if covered(host)
         }
-        return Stamps(entries, dict(self._tombstones_by_host))
+        return Stamps(entries, tombstones, buckets)
 
     def newer_than(self, stamps: Stamps) -> list[SiteEntry]:
         """Return the entries that another host lacks or has outdated."""
         return [
             entry
             for host, entry in self.entries_by_host.items()
-            if entry.stamp > stamps.entries.get(host, -1)
+            if stamps.covers(host)
+            and entry.stamp > stamps.entries.get(host, -1)
             and entry.stamp > stamps.tombstones.get(host, -1)
         ]
 
@@ -151,14 +189,38 @@
     def digest(self) -> str:
         """Return a digest of the entries; equal entries give equal digests."""
         if not self._digest:
-            stamps = sorted(
-                f'{host}={entry.stamp}'
-                for host, entry in self.entries_by_host.items()
-            )
-            full_digest = sha256('\n'.join(stamps).encode()).hexdigest()
-            self._digest = full_digest[:DIGEST_DIGITS]
+            self._digest = _digest_of(self.bucket_digests(), DIGEST_DIGITS)
         return self._digest
 
+    def bucket_digests(self) -> tuple[str, ...]:
+        """Return a digest of the entries of each bucket."""
+        if not self._bucket_digests:
+            stamps: list[list[str]] = [[] for _ in range(BUCKETS)]
+            for host, entry in self.entries_by_host.items():
+                stamps[bucket_of(host)].append(f'{host}={entry.stamp}')
+            self._bucket_digests = tuple(
+                _digest_of(sorted(one), BUCKET_DIGEST_DIGITS) for one in stamps
+            )
+        return self._bucket_digests
+
+    def differing_buckets(
+        self, digests: tuple[str, ...]
+    ) -> frozenset[int] | None:
+        """Return the buckets whose digests differ from another host's.
+
+        Return None if the other host has other buckets.
+        """
+        own = self.bucket_digests()
+        if len(digests) != len(own):
+            return None
+        return frozenset(
+            number
+            for number, (here, there) in enumerate(
+                zip(own, digests, strict=True)
+            )
+            if here != there
+        )
+
     def _last_stamp(self, host: str) -> int:
         known = self.entries_by_host.get(host)
         tombstone_stamp = self._tombstones_by_host.get(host, -1)
@@ -177,4 +239,12 @@
     def _store(self, entry: SiteEntry) -> None:
         self.entries_by_host[entry.place.host] = entry
         self._tombstones_by_host.pop(entry.place.host, None)
+        self._forget_digests()
+
+    def _forget_digests(self) -> None:
         self._digest = ''
+        self._bucket_digests = ()
+
+
+def _digest_of(texts: Iterable[str], digits: int) -> str:
+    return sha256('\n'.join(texts).encode()).hexdigest()[:digits]
--- a/packages/peers/src/dragonflyknot/peers/sitelinks.py
+++ b/packages/peers/src/dragonflyknot/peers/sitelinks.py
@@ -7,6 +7,7 @@
 """
 
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final, Protocol
 
@@ -35,6 +36,7 @@
 LINK_IDLE_TIMEOUT_S: Final = 30.0
 TCP_USER_TIMEOUT_MS: Final = 1500
 CONNECT_TIMEOUT_S: Final = 0.3
+REQUESTS: Final = 'requests'
 BAD_GATEWAY: Final = 502
 BAD_REQUEST: Final = 400
 _JSON_HEADER: Final = b'Content-Type: application/json\r\n'
@@ -56,11 +58,16 @@
 
 
 class PeerLinks:
-    """Connection pools to peers by address, as a context manager."""
+    """Connection pools to peers by address, as a context manager.
+
+    `bytes_by_kind` counts what was sent and received, by the path of a control
+    message or as `REQUESTS`; streamed request bodies are not counted.
+    """
 
     def __init__(self) -> None:
         """Create the collection without connections."""
         self._pools_by_address: dict[str, LinkPool] = {}
+        self.bytes_by_kind: Counter[str] = Counter()
 
     def __enter__(self) -> 'PeerLinks':
         """Return the collection; connections open on first use."""
@@ -109,6 +116,7 @@
             link.abort()
             raise
         pool.release(link)
+        self.bytes_by_kind[path] += len(content) + (answer.length or 0)
         if answer.status != 200 or not isinstance(body, bytes):
             raise LinkLost(was_sent=True)
         return body
@@ -123,9 +131,13 @@
         gate: LocalGate,
         peers: PeerLinks,
         balancer: Balancer,
-        on_version: Callable[[int], None],
+        on_version: Callable[[int, str], None],
     ) -> None:
-        """Call `on_version` with the configuration versions gates report."""
+        """Keep the parts.
+
+        `on_version` is called with each configuration version that a gate
+        reports, and with the address of the gate.
+        """
         self._host = host
         self._gate = gate
         self._peers = peers
@@ -173,13 +185,16 @@
         outgoing: OutgoingRequest,
     ) -> Outcome:
         is_head = outgoing.method == 'HEAD'
-        head = _encode_head(hop, outgoing)
+        content = _encode_head(hop, outgoing)
         if isinstance(outgoing.body, bytes):
-            link.send(head + outgoing.body, is_head=is_head)
+            content += outgoing.body
+            link.send(content, is_head=is_head)
         else:
-            link.send(head, is_head=is_head)
+            link.send(content, is_head=is_head)
             await link.send_body(outgoing.body, is_chunked=True)
         answer = await link.receive()
+        exchanged = len(content) + (answer.length or 0)
+        self._peers.bytes_by_kind[REQUESTS] += exchanged
         self._record_report(candidate, answer)
         body = await read_body(answer)
         if not isinstance(body, bytes):
@@ -201,7 +216,7 @@
         )
         if report is not None:
             self._balancer.record_load(candidate, report.load, time.monotonic())
-            self._on_version(report.version)
+            self._on_version(report.version, candidate.place.address)
 
 
 class SiteReceiver:
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -1,8 +1,9 @@
 """JSON messages between the daemons of a site.
 
-Gossip starts with a digest of what the sender knows. If the digests differ,
-the answer lists the stamp of each entry. A second message then sends the
-entries that the receiver lacks and requests those that the sender lacks.
+Gossip starts with a digest of what the sender knows, and one for each bucket
+of hosts. If they differ, the answer lists the stamps of the entries in the
+buckets that differ. A second message then sends the entries that the receiver
+lacks and requests those that the sender lacks.
 
 For compatibility between versions, unknown fields are ignored and malformed
 entries are skipped.
@@ -23,7 +24,9 @@
 
 GOSSIP_PATH: Final = '/.dragonflyknot/gossip'
 CONFIGURATION_PATH: Final = '/.dragonflyknot/configuration'
+COMPRESSED_CONFIGURATION_PATH: Final = '/.dragonflyknot/configuration.zlib'
 STOPPING_PATH: Final = '/.dragonflyknot/stopping'
+MAX_EPOCH: Final = 10**15
 _STATES_BY_VALUE: Final = MappingProxyType(
     {state.value: state for state in UpstreamState}
 )
@@ -34,7 +37,10 @@
 class SiteGossip:
     """A gossip message between two daemons of a site.
 
-    A digest requests a comparison, `wants` the entries of the named hosts.
+    `version` is that of the sender's configuration. A digest requests a
+    comparison, `wants` the entries of the named hosts. `has_store` tells
+    whether the store answers the sender, and `epoch` is the highest epoch of
+    the store that it knows, 0 if none.
     """
 
     version: int
@@ -42,6 +48,10 @@
     entries: tuple[SiteEntry, ...] = ()
     wants: tuple[str, ...] = ()
     stamps: Stamps | None = None
+    bucket_digests: tuple[str, ...] = ()
+    sender: str = ''
+    epoch: int = 0
+    has_store: bool = True
 
 
 def encode_entry(entry: SiteEntry) -> bytes:
@@ -71,12 +81,16 @@
         'version': gossip.version,
         'digest': gossip.digest,
         'entries': [_encode_entry_fields(entry) for entry in gossip.entries],
+        'sender': gossip.sender,
+        'epoch': gossip.epoch,
+        'store': gossip.has_store,
     }
+    if gossip.bucket_digests:
+        fields['buckets'] = ','.join(gossip.bucket_digests)
     if gossip.wants:
         fields['wants'] = list(gossip.wants)
     if gossip.stamps is not None:
-        fields['stamps'] = dict(gossip.stamps.entries)
-        fields['tombstones'] = dict(gossip.stamps.tombstones)
+        fields.update(_encode_stamps(gossip.stamps))
     return json.dumps(fields, separators=(',', ':')).encode()
 
 
@@ -96,14 +110,33 @@
         tuple(_decode_entries(fields.items('entries'))),
         fields.strings('wants'),
         _decode_stamps(fields) if fields.has('stamps') else None,
+        tuple(filter(None, fields.string('buckets', '').split(','))),
+        fields.string('sender', ''),
+        fields.integer('epoch', 0, minimum=0, maximum=MAX_EPOCH),
+        fields.boolean('store', default=True),
     )
 
 
+def _encode_stamps(stamps: Stamps) -> dict[str, Any]:
+    fields: dict[str, Any] = {
+        'stamps': dict(stamps.entries),
+        'tombstones': dict(stamps.tombstones),
+    }
+    if stamps.buckets is not None:
+        fields['stamped_buckets'] = sorted(stamps.buckets)
+    return fields
+
+
 def _decode_stamps(fields: Fields) -> Stamps:
     tombstones: dict[str, int] = {}
     if fields.has('tombstones'):
         tombstones = _decode_stamps_by_host(fields.record('tombstones'))
-    return Stamps(_decode_stamps_by_host(fields.record('stamps')), tombstones)
+    buckets: frozenset[int] | None = None
+    if fields.has('stamped_buckets'):
+        buckets = frozenset(map(int, fields.numbers('stamped_buckets')))
+    return Stamps(
+        _decode_stamps_by_host(fields.record('stamps')), tombstones, buckets
+    )
 
 
 def _decode_stamps_by_host(fields: Fields) -> dict[str, int]:
--- a/packages/stores/src/dragonflyknot/stores/rowstore.py
+++ b/packages/stores/src/dragonflyknot/stores/rowstore.py
@@ -7,6 +7,7 @@
 there.
 """
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -74,12 +75,23 @@
 class RowStore(Protocol):
     """Read, watch and change rows."""
 
+    @property
+    def calls_by_kind(self) -> Counter[str]:
+        """Return the number of calls sent, by operation and table."""
+
+    @property
+    def epoch(self) -> int | None:
+        """Return the epoch of the store, None if it has named none."""
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener when the store is found in another epoch."""
 
     async def read(self, table: str) -> Snapshot:
         """Return all rows of a table. Raise StoreOut."""
 
+    async def read_row(self, name: RowName) -> Snapshot:
+        """Return a row, no rows if it does not exist. Raise StoreOut."""
+
     async def changes(
         self, table: str, after: StoreVersion, wait_s: float
     ) -> Snapshot:
