Gossip mostly inside the data centre

Seen: 4.1 MB of gossip beside 9.5 MB of requests on the small twin of the large site; three quarters of the random peers were of the own region, hardly any of the own data centre. Bytes between data centres are paid for, those between regions dearly.

Change: three quarters of the comparisons and most pushes stay in the data centre; each zone gets several pushes from outside. New hosts that are not announced do not follow the feeds. Gossip no longer speeds up while the store is out: news are pushed in any case.

--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -25,16 +25,17 @@
 from dragonflyknot.peers.sitelinks import PeerLinks
 
 GOSSIP_INTERVAL_S: Final = 1.0
-GOSSIP_INTERVAL_WITHOUT_STORE_S: Final = 0.35
 GOSSIP_TIMEOUT_S: Final = 0.5
 CHECK_INTERVAL_S: Final = 1.0
-SAME_REGION_SHARE: Final = 0.75
+# Traffic inside a data center is free, and that between regions is dear.
+SAME_DATA_CENTER_SHARE: Final = 0.75
+SAME_REGION_SHARE: Final = 0.8
 MAX_ENTRIES: Final = 200
 MAX_TOLD_PEERS: Final = 64
 PUSH_DELAY_S: Final = 0.1
-PUSHED_TO: Final = 3
+PUSHED_NEAR: Final = 2
+PUSHED_ELSEWHERE_SHARE: Final = 0.3
 VERSION_PUSHED_NEAR: Final = 3
-VERSION_PUSHED_ANYWHERE: Final = 1
 GREETED_PEERS: Final = 2
 _log = structlog.get_logger(__name__)
 
@@ -147,21 +148,15 @@
         await asyncio.gather(*(self._gossip_with(one.place) for one in greeted))
         self._policy.record_peers_asked()
         while True:
-            is_calm = self._membership.has_store
-            pause_s = (
-                GOSSIP_INTERVAL_S
-                if is_calm
-                else GOSSIP_INTERVAL_WITHOUT_STORE_S
-            )
-            await asyncio.sleep(pause_s * (0.75 + random.random() / 2))
-            peers = self.peers()
-            if peers:
-                await self._gossip_with(self._random_peer(peers).place)
+            await asyncio.sleep(_jittered(GOSSIP_INTERVAL_S))
+            is_near = random.random() < SAME_DATA_CENTER_SHARE
+            for peer in self._random_peers(1, is_near=is_near):
+                await self._gossip_with(peer.place)
 
     async def check_followers_on(self) -> None:
         """Check on the followers that this host is a standby for."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S * (0.75 + random.random() / 2))
+            await asyncio.sleep(_jittered(CHECK_INTERVAL_S))
             checked = self.followers.hosts_to_check(
                 self._view.entries_by_host.values(), time.monotonic()
             )
@@ -175,32 +170,24 @@
             await self._has_news.wait()
             await asyncio.sleep(PUSH_DELAY_S)
             self._has_news.clear()
-            peers = self.peers()
-            if not peers:
+            if not self.peers():
                 # The first peers that are known raise the event again.
                 continue
             news = self._gossip(self._to_push.values())
             self._to_push.clear()
-            chosen = {self._random_peer(peers).place for _ in range(PUSHED_TO)}
-            await asyncio.gather(*(self._push(one, news) for one in chosen))
+            chosen = self._random_peers(PUSHED_NEAR, is_near=True)
+            if random.random() < PUSHED_ELSEWHERE_SHARE:
+                chosen += self._random_peers(1, is_near=False)
+            await self._push_to(chosen, news)
 
     async def push_versions_on(self) -> None:
         """Tell some peers of each configuration that is installed."""
         while True:
             await self._has_version.wait()
             self._has_version.clear()
-            nearest = self.nearest_peers()
-            told = {
-                one.place
-                for one in (
-                    *nearest[:VERSION_PUSHED_NEAR],
-                    *random.sample(
-                        nearest, min(VERSION_PUSHED_ANYWHERE, len(nearest))
-                    ),
-                )
-            }
-            news = self._gossip()
-            await asyncio.gather(*(self._push(one, news) for one in told))
+            chosen = self._random_peers(VERSION_PUSHED_NEAR, is_near=True)
+            chosen += self._random_peers(1, is_near=False)
+            await self._push_to(chosen, self._gossip())
 
     async def reaches(self, host: str) -> bool:
         """Ask a host once more; return whether it answers."""
@@ -250,6 +237,12 @@
         buckets = self._view.differing_buckets(received.bucket_digests)
         return replace(reply, digest=digest, stamps=self._view.stamps(buckets))
 
+    async def _push_to(
+        self, peers: list[SiteEntry], news: sitewire.SiteGossip
+    ) -> None:
+        places = {peer.place for peer in peers}
+        await asyncio.gather(*(self._push(one, news) for one in places))
+
     async def _push(self, place: Place, news: sitewire.SiteGossip) -> None:
         if await self._send(place, news) is None:
             _log.debug('news_not_pushed', peer=place.host)
@@ -315,10 +308,27 @@
         self.unreached_since_by_host.setdefault(place.host, now)
         self.followers.record_doubt(place.host, now)
 
-    def _random_peer(self, peers: list[SiteEntry]) -> SiteEntry:
-        near = [
-            one for one in peers if one.place.region == self._settings.region
+    def _random_peers(self, count: int, *, is_near: bool) -> list[SiteEntry]:
+        """Return random peers of this data center, or of other ones.
+
+        Of the other ones, those of the own region are chosen more often. If
+        there is no such peer, any one will do.
+        """
+        settings = self._settings
+        peers = self.peers()
+        wanted = [
+            one
+            for one in peers
+            if is_near is (one.place.data_center == settings.data_center)
         ]
-        if near and random.random() < SAME_REGION_SHARE:
-            return random.choice(near)
-        return random.choice(peers)
+        if not is_near and random.random() < SAME_REGION_SHARE:
+            region = [
+                one for one in wanted if one.place.region == settings.region
+            ]
+            wanted = region or wanted
+        wanted = wanted or peers
+        return random.sample(wanted, min(count, len(wanted)))
+
+
+def _jittered(interval_s: float) -> float:
+    return interval_s * (0.75 + random.random() / 2)
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -41,9 +41,9 @@
 REAP_S: Final = 5.0
 LOST_AFTER_S: Final = 15.0
 FEED_PAUSE_S: Final = 1.0
-# New processes learn who precedes them before they follow.
+# New hosts learn who precedes them before they follow.
 FOLLOW_AFTER_S: Final = 2.5
-ISOLATED_AFTER_S: Final = 3.0
+ISOLATED_AFTER_S: Final = 5.0
 # Hosts read a restored store one after another.
 RESTORED_SPREAD_S: Final = 2.0
 _log = structlog.get_logger(__name__)
@@ -83,7 +83,7 @@
         self._written: asyncio.Future[None] | None = None
         self._own_row: bytes | None = None
         self._epoch = 0
-        self._started_at = time.monotonic()
+        self._listed_since = float('inf')
         self.view = SiteView(settings.host)
         self.gossip = PeerGossip(settings, links, policy, self.view, self)
 
@@ -116,10 +116,13 @@
         from no peer.
         """
         now = time.monotonic()
-        if not self._is_settled or now < self._started_at + FOLLOW_AFTER_S:
-            return False
         if now - self.gossip.heard_at > ISOLATED_AFTER_S:
             return True
+        if self.view.own is None or not self._is_settled:
+            return False
+        self._listed_since = min(self._listed_since, now)
+        if now < self._listed_since + FOLLOW_AFTER_S:
+            return False
         return self.gossip.followers.follows(
             self.view.entries_by_host.values(), now
         )
