Let hosts find each other before they ask the store at a first start

Seen: at a cold start nobody knows a peer, so each host read the table of hosts twice and the configuration three times, until the operators had written it.

Change: when the whole site starts for the first time, a host reads the table once, after it has written its row, and asks the store for the configuration only if no peer has one after 4 s. A host that asks the store follows the feed until the configuration is there, instead of reading again and again.

--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -146,7 +146,8 @@
         await self._membership.first_known()
         greeted = self.nearest_peers()[:GREETED_PEERS]
         await asyncio.gather(*(self._gossip_with(one.place) for one in greeted))
-        self._policy.record_peers_asked()
+        if greeted or not self._settings.is_first_start:
+            self._policy.record_peers_asked()
         while True:
             await asyncio.sleep(_jittered(GOSSIP_INTERVAL_S))
             is_near = random.random() < SAME_DATA_CENTER_SHARE
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -66,7 +66,11 @@
         self.site_retries = SiteRetryBudget(settings.retry_bound)
         self.links = PeerLinks()
         self.policy = SitePolicy(
-            platform, self.links, self._peers, self._is_follower
+            platform,
+            self.links,
+            self._peers,
+            self._is_follower,
+            is_first_start=settings.is_first_start,
         )
         self.members = SiteMembers(
             settings, platform, self.links, self.balancer, self.policy
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -44,6 +44,8 @@
 # New hosts learn who precedes them before they follow.
 FOLLOW_AFTER_S: Final = 2.5
 ISOLATED_AFTER_S: Final = 5.0
+# Longest wait for the upstream's first announcement at a first start.
+FIRST_ANNOUNCEMENT_S: Final = 4.0
 # Hosts read a restored store one after another.
 RESTORED_SPREAD_S: Final = 2.0
 _log = structlog.get_logger(__name__)
@@ -74,7 +76,8 @@
             is_wanted=self.is_follower,
             pause_s=FEED_PAUSE_S,
         )
-        self._follower.read_soon()
+        if not settings.is_first_start:
+            self._follower.read_soon()
         self._listeners: list[Callable[[], None]] = []
         self._versions_by_host: dict[str, StoreVersion] = {}
         self._has_read = asyncio.Event()
@@ -229,6 +232,7 @@
     async def run(self) -> None:
         """Keep up until cancelled."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._read_without_announcement())
             group.create_task(keep_running(self._follower.run))
             group.create_task(keep_running(self.gossip.compare_on))
             group.create_task(keep_running(self.gossip.push_on))
@@ -322,6 +326,12 @@
         self._written = None
         self._write_soon()
 
+    async def _read_without_announcement(self) -> None:
+        """Read the table if no upstream announces itself at a first start."""
+        await asyncio.sleep(FIRST_ANNOUNCEMENT_S)
+        if not self._has_read.is_set():
+            self._follower.read_soon()
+
     async def _write_on(self) -> None:
         while True:
             await self._unwritten.wait()
--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -37,9 +37,11 @@
 # Every so many fetches, the store is asked instead of a peer.
 STORE_FETCH_INTERVAL: Final = 3
 PEER_VERSION_VALID_S: Final = 2.0
-# How long a new process waits for peers before it asks the store.
-PEERS_ASKED_S: Final = 1.0
-FIRST_FETCH_S: Final = 0.5
+# How long a new process waits for peers before it asks the store. When the
+# whole site starts, hosts have to find each other first.
+FIRST_VERSION_S: Final = 1.0
+FIRST_VERSION_AT_FIRST_START_S: Final = 4.0
+PEER_FETCH_S: Final = 0.5
 NEAR_PEERS: Final = 8
 MAX_CONFIGURATION_BYTES: Final = 8 * 1024 * 1024
 COMPRESSION_LEVEL: Final = 1
@@ -60,11 +62,14 @@
         links: PeerLinks,
         peers: Callable[[], list[str]],
         is_follower: Callable[[], bool],
+        *,
+        is_first_start: bool = False,
     ) -> None:
         """Start without a configuration.
 
         `peers` returns the addresses of peers, the nearest ones first, and
         `is_follower` tells whether this host follows the store's feed.
+        `is_first_start` tells that the whole site starts for the first time.
         """
         self._platform = platform
         self._links = links
@@ -74,8 +79,14 @@
             platform.configuration_row.table,
             self._apply_rows,
             self._apply_rows,
-            is_wanted=is_follower,
+            is_wanted=lambda: self._needs_store or is_follower(),
         )
+        self._first_version_s = (
+            FIRST_VERSION_AT_FIRST_START_S
+            if is_first_start
+            else FIRST_VERSION_S
+        )
+        self._needs_store = False
         self._listeners: list[Callable[[SiteConfiguration], None]] = []
         self._installed = asyncio.Event()
         self._wanted = 0
@@ -202,19 +213,19 @@
             self.apply_content(row.content)
 
     async def _find_first(self) -> None:
-        """Ask the store for a configuration if no peer has one."""
+        """Follow the store until it has a configuration, if no peer has."""
         with suppress(TimeoutError):
-            async with asyncio.timeout(PEERS_ASKED_S):
+            async with asyncio.timeout(self._first_version_s):
                 await self._peers_asked.wait()
-        has_source = self._wanted > 0
-        while self.configuration is None:
-            if not has_source:
-                self._follower.read_soon()
-            has_source = False
+        if self._wanted:
             with suppress(TimeoutError):
-                async with asyncio.timeout(FIRST_FETCH_S):
+                async with asyncio.timeout(PEER_FETCH_S):
                     await self._installed.wait()
-        self._follower.cancel_read()
+        if self.configuration is None:
+            self._needs_store = True
+            self._follower.read_soon()
+            await self._installed.wait()
+            self._needs_store = False
 
     async def _catch_up(self) -> None:
         while True:
--- a/packages/daemon/src/dragonflyknot/daemon/sitesettings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitesettings.py
@@ -17,6 +17,7 @@
 
     Callers leave a host within `callers_leave_s` after it stops being ready.
     A process must end within `grace_s` after it was told to stop.
+    `is_first_start` tells that the whole site starts for the first time.
     """
 
     host: str
@@ -32,6 +33,7 @@
     callers_leave_s: float = 2.1
     grace_s: float = 6.0
     retry_bound: SiteRetryBound = field(default_factory=SiteRetryBound)
+    is_first_start: bool = False
 
 
 @dataclass(frozen=True, slots=True)
