Serve connections that wait to be accepted when a listener closes

Cause: the kernel resets what is in the accept queue of a closed socket. Change: the server owns its listening socket, and accepts what waits there before it closes it; what is accepted is answered as any other request.

--- a/packages/exchange/src/dragonflyknot/exchange/serverlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverlink.py
@@ -5,10 +5,11 @@
 """
 
 import asyncio
+import socket
 import time
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from http import HTTPStatus
 from types import MappingProxyType
@@ -155,6 +156,8 @@
         self.port = 0
         self.loop = asyncio.get_running_loop()
         self._listener: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._accepting: set[asyncio.Task[Any]] = set()
         self.links: set[ServerLink] = set()
 
     def sweep(self, now: float) -> None:
@@ -162,15 +165,45 @@
         for link in tuple(self.links):
             link.close_if_timed_out(now)
 
-    def listen(self, listener: asyncio.Server) -> None:
-        """Take ownership of the listener and store its port."""
-        self._listener = listener
-        self.port = listener.sockets[0].getsockname()[1]
+    async def listen(self, host: str, port: int) -> None:
+        """Accept connections on an address and store its port."""
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.setblocking(False)
+        try:
+            listening.bind((host, port))
+            self._listener = await self.loop.create_server(
+                lambda: ServerLink(self), sock=listening, backlog=BACKLOG
+            )
+        except BaseException:
+            listening.close()
+            raise
+        self._socket = listening
+        self.port = listening.getsockname()[1]
 
     def stop_listening(self) -> None:
-        """Stop accepting connections."""
-        if self._listener is not None:
-            self._listener.close()
+        """Stop accepting connections; serve those that were made before.
+
+        Connections that wait to be accepted would be reset by the close.
+        """
+        if self._listener is None or self._socket is None:
+            return
+        with suppress(OSError):
+            while True:
+                connection, _address = self._socket.accept()
+                self._adopt(connection)
+        self._listener.close()
+        self._listener = None
+
+    def _adopt(self, connection: socket.socket) -> None:
+        connection.setblocking(False)
+        task = self.loop.create_task(
+            self.loop.connect_accepted_socket(
+                lambda: ServerLink(self), connection
+            )
+        )
+        self._accepting.add(task)
+        task.add_done_callback(self._accepting.discard)
 
     @property
     def in_flight(self) -> int:
@@ -180,6 +213,8 @@
     def abort(self) -> None:
         """Stop listening and abort all links."""
         self.stop_listening()
+        for task in tuple(self._accepting):
+            task.cancel()
         for link in tuple(self.links):
             link.abort()
 
@@ -399,10 +434,7 @@
     Port 0 selects a free port; `Server.port` holds it.
     """
     server = Server(handler, limits or Limits())
-    listener = await server.loop.create_server(
-        lambda: ServerLink(server), host, port, backlog=BACKLOG
-    )
-    server.listen(listener)
+    await server.listen(host, port)
     sweeper = server.loop.create_task(_sweep(server))
     try:
         yield server
