Rule out that a late request of a stop is cut at the end of its grace

Other operators reported that in a planned stop of one host, in calm, requests that came late in the grace were passed on and cut with no answer at its end, some of which may not be repeated. The test asks for unsafe work of 0.8 s all through a stop: each request is answered whole or refused as not run, and the upstream ran as many as were answered.

--- a/tests/platform/test_site_stops.py
+++ b/tests/platform/test_site_stops.py
@@ -196,3 +196,46 @@
                 self.assertNotIn(502, statuses)
 
         run_async(body())
+
+
+class LateInTheGraceTest(testtools.TestCase):
+    """A request that comes late in the grace runs to its end, or not at all."""
+
+    # Guards against a stop in calm that takes requests until late in the
+    # grace and cuts them at its end, among them some that may not be repeated.
+    def test_requests_all_through_the_stop(self) -> None:
+        """Answer all that ran; refuse the others as not run."""
+
+        async def slowly(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.8)
+            writer.write(whole(seen))
+
+        async def ask(fleet: SiteFleet) -> int:
+            try:
+                reply = await fleet.ask(path='/book/x', method='POST')
+            except ConnectionError:
+                return 0
+            return reply.status
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                host = fleet.hosts[0]
+                host.settings = replace(
+                    host.settings, callers_leave_s=1, grace_s=4
+                )
+                fleet.upstreams[0].script = slowly
+                before = len(fleet.upstreams[0].seen)
+                stopping = asyncio.ensure_future(host.drain())
+                asked = []
+                while not stopping.done():
+                    asked.append(asyncio.ensure_future(ask(fleet)))
+                    await asyncio.sleep(0.05)
+                await host.__aexit__(None, None, None)
+                statuses = await asyncio.gather(*asked)
+                served = statuses.count(200)
+                self.assertLess(0, served)
+                self.assertLess(0, statuses.count(503))
+                self.assertEqual(served, len(fleet.upstreams[0].seen) - before)
+                self.assertLessEqual(set(statuses), {200, 503, 0})
+
+        run_async(body())
