Split candidates from the balancer, and the own row from the members

What a candidate is and how attempts fare there is a module of its own (decisions/candidates), and so is the writing of the host's own row (daemon/entrywriter). One change goes with it: a write that fails is repeated after 0.3 s, then 0.6 s up to 1.5 s, since refused calls to the store are paid for too. /metrics and /state tell whether a host follows the store and how long ago it heard from a peer.

--- a/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
+++ b/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from dragonflyknot.decisions import siteconfig
-from dragonflyknot.decisions.balancer import HostQuery
+from dragonflyknot.decisions.candidates import HostQuery
 from dragonflyknot.exchange.hopheaders import MS_PER_SECOND
 from dragonflyknot.exchange.outcomes import OutgoingRequest
 from dragonflyknot.exchange.serverlink import Request
--- a/packages/callers/src/dragonflyknot/callers/requestrunner.py
+++ b/packages/callers/src/dragonflyknot/callers/requestrunner.py
@@ -26,8 +26,8 @@
     LateAttempt,
     SiteEdgePorts,
 )
-from dragonflyknot.decisions import balancer
-from dragonflyknot.decisions.balancer import Candidate
+from dragonflyknot.decisions.balancer import LATE_AFTER_RATIO
+from dragonflyknot.decisions.candidates import Candidate, Ending
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.exchange import links
 from dragonflyknot.exchange.hopheaders import Hop
@@ -157,7 +157,7 @@
         """Return whether another attempt may run beside a late one."""
         forwarded = timed.forwarded
         # Without time for another attempt of the usual length, keep waiting.
-        if forwarded.deadline - now < waited_s / balancer.LATE_AFTER_RATIO:
+        if forwarded.deadline - now < waited_s / LATE_AFTER_RATIO:
             return False
         if not self._ports.balancer.has_room(
             forwarded.service, forwarded.excluded_hosts, now
@@ -200,9 +200,9 @@
     forwarded = timed.forwarded
     candidate.in_flight -= 1
     ending = _balancer_ending(timed.outcome)
-    if ending is balancer.Ending.CANCELLED and not timed.is_counted_late:
+    if ending is Ending.CANCELLED and not timed.is_counted_late:
         if not forwarded.has_time:
-            ending = balancer.Ending.LATE
+            ending = Ending.LATE
     now = time.monotonic()
     candidate.record_end(ending, forwarded.route.name, timed.began, now)
     forwarded.attempts.append(
@@ -210,7 +210,7 @@
             candidate.place.host, _name_outcome(timed.outcome), timed.began, now
         )
     )
-    if ending is not balancer.Ending.DONE:
+    if ending is not Ending.DONE:
         forwarded.tried_hosts.add(candidate.place.host)
 
 
@@ -232,15 +232,15 @@
             return True
 
 
-def _balancer_ending(outcome: Outcome | None) -> balancer.Ending:
+def _balancer_ending(outcome: Outcome | None) -> Ending:
     match outcome:
         case None:
-            return balancer.Ending.CANCELLED
+            return Ending.CANCELLED
         case Answered() if has_succeeded(outcome):
-            return balancer.Ending.DONE
+            return Ending.DONE
         case NotRun(Refusal.SHED, False):
-            return balancer.Ending.REFUSED
+            return Ending.REFUSED
         case NotRun(reached_upstream=False):
-            return balancer.Ending.UNREACHABLE
+            return Ending.UNREACHABLE
         case _:
-            return balancer.Ending.FAILED
+            return Ending.FAILED
--- a/packages/callers/src/dragonflyknot/callers/siteedgeports.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedgeports.py
@@ -6,7 +6,8 @@
 from enum import Enum, unique
 from typing import Protocol
 
-from dragonflyknot.decisions.balancer import Balancer, Candidate
+from dragonflyknot.decisions.balancer import Balancer
+from dragonflyknot.decisions.candidates import Candidate
 from dragonflyknot.decisions.origins import Origin
 from dragonflyknot.decisions.siteconfig import SiteConfiguration, SiteRoutes
 from dragonflyknot.decisions.siteretries import SiteRetryBudget
--- /dev/null
+++ b/packages/daemon/src/dragonflyknot/daemon/entrywriter.py
@@ -0,0 +1,96 @@
+"""Write the host's own row to the table of hosts, until it is stored."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+import structlog
+
+from dragonflyknot.decisions.siteview import SiteEntry
+from dragonflyknot.peers import sitewire
+from dragonflyknot.stores.rowstore import RowName, RowStore, StoreOut
+
+WRITE_PAUSE_S: Final = 0.3
+MAX_WRITE_PAUSE_S: Final = 1.5
+_log = structlog.get_logger(__name__)
+
+
+class EntryWriter:
+    """Own the row of this host; what is written is the entry of the time."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        name: RowName,
+        own_entry: Callable[[], SiteEntry | None],
+        on_stored: Callable[[], None],
+    ) -> None:
+        """Start with nothing to write.
+
+        `own_entry` returns the entry to write, and `on_stored` is called
+        after each write.
+        """
+        self._store = store
+        self._name = name
+        self._own_entry = own_entry
+        self._on_stored = on_stored
+        self._is_due = asyncio.Event()
+        self._stored: asyncio.Future[None] | None = None
+
+    @property
+    def has_stored(self) -> bool:
+        """Tell whether the store has acknowledged the entry."""
+        return self._stored is not None and self._stored.done()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is to be written."""
+        return self._stored is None or self._stored.done()
+
+    def write_soon(self) -> asyncio.Future[None]:
+        """Write the entry unless it is stored; return when it is."""
+        if self._stored is None:
+            return self.write_again()
+        return self._stored
+
+    def write_again(self) -> asyncio.Future[None]:
+        """Write the entry, whatever was stored before."""
+        self._stored = asyncio.get_running_loop().create_future()
+        self._is_due.set()
+        return self._stored
+
+    def record_stored(self) -> None:
+        """Record that the row of an earlier process holds the same entry."""
+        if self._stored is None:
+            self._stored = asyncio.get_running_loop().create_future()
+            self._stored.set_result(None)
+
+    async def run(self) -> None:
+        """Write what is due until cancelled."""
+        while True:
+            await self._is_due.wait()
+            self._is_due.clear()
+            await self._write_until_stored()
+
+    async def _write_until_stored(self) -> None:
+        pause_s = WRITE_PAUSE_S
+        while (entry := self._own_entry()) is not None:
+            stored = self._stored
+            if not await self._put(entry):
+                await asyncio.sleep(pause_s * (1 + random.random()))
+                pause_s = min(2 * pause_s, MAX_WRITE_PAUSE_S)
+            elif entry == self._own_entry():
+                if stored is not None and not stored.done():
+                    stored.set_result(None)
+                self._on_stored()
+                return
+
+    async def _put(self, entry: SiteEntry) -> bool:
+        """Write an entry; return whether the store has acknowledged it."""
+        try:
+            await self._store.put(self._name, sitewire.encode_entry(entry))
+        except StoreOut as out:
+            _log.info('entry_not_written', reason=out.reason)
+            return False
+        return True
--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -17,7 +17,7 @@
 
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SiteSettings
-from dragonflyknot.decisions.balancer import Place
+from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.followers import FollowerChoice
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
 from dragonflyknot.exchange.clientlink import LinkLost
--- a/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Any, Final
 
+from dragonflyknot.decisions.candidates import Load
 from dragonflyknot.exchange import telemetry
 from dragonflyknot.exchange.serverlink import Request
 
@@ -51,6 +52,7 @@
             'not_ready_reason': host.not_ready_reason,
             'version': host.policy.version,
             'is_current': host.policy.is_current,
+            'is_following': host.policy.is_following,
             'upstream': None if upstream is None else upstream.instance,
             'state': load.state.value,
             'slots': load.slots,
@@ -90,11 +92,8 @@
         yield f'dragonflyknot_cancelled {counts.cancelled}'
         yield f'dragonflyknot_log_lines_dropped {counts.log.dropped}'
         yield f'dragonflyknot_in_flight {host.in_flight}'
-        yield f'dragonflyknot_gate_running {load.running}'
-        yield f'dragonflyknot_gate_waiting {load.waiting}'
-        yield f'dragonflyknot_gate_slots {load.slots}'
-        yield f'dragonflyknot_members {len(host.members.entries())}'
-        yield from self._configuration_lines()
+        yield from _load_lines(load)
+        yield from self._site_lines()
         yield from self._usage_lines()
         yield from _histogram(counts.latency)
 
@@ -105,14 +104,24 @@
         for path, exchanged in sorted(links.bytes_by_kind.items()):
             yield f'dragonflyknot_peer_bytes{{kind="{path}"}} {exchanged}'
 
-    def _configuration_lines(self) -> Iterator[str]:
+    def _site_lines(self) -> Iterator[str]:
         policy = self._host.policy
+        members = self._host.members
+        yield f'dragonflyknot_members {len(members.entries())}'
+        yield f'dragonflyknot_following {int(policy.is_following)}'
+        yield f'dragonflyknot_heard_from_peers_s {members.silent_s:.3f}'
         yield f'dragonflyknot_configuration_version {policy.version}'
         yield f'dragonflyknot_configurations_refused {policy.refused}'
         unknown_words = len(policy.unknown_words)
         yield f'dragonflyknot_configuration_unknown_words {unknown_words}'
 
 
+def _load_lines(load: Load) -> Iterator[str]:
+    yield f'dragonflyknot_gate_running {load.running}'
+    yield f'dragonflyknot_gate_waiting {load.waiting}'
+    yield f'dragonflyknot_gate_slots {load.slots}'
+
+
 def _histogram(histogram: telemetry.Histogram) -> Iterator[str]:
     total = 0
     for bound, count in zip(
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -20,8 +20,9 @@
 from dragonflyknot.daemon.siterates import SiteRates
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.daemon.tasks import Tasks, keep_running
-from dragonflyknot.decisions.balancer import Balancer, Load
+from dragonflyknot.decisions.balancer import Balancer
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Load
 from dragonflyknot.decisions.siteconfig import SiteConfiguration
 from dragonflyknot.decisions.siteretries import SiteRetryBudget
 from dragonflyknot.decisions.throttle import Throttle
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -19,12 +19,14 @@
 
 import structlog
 
+from dragonflyknot.daemon.entrywriter import EntryWriter
 from dragonflyknot.daemon.follower import TableFollower
 from dragonflyknot.daemon.peergossip import PeerGossip
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.daemon.tasks import keep_running
-from dragonflyknot.decisions.balancer import Balancer, Place
+from dragonflyknot.decisions.balancer import Balancer
+from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView
 from dragonflyknot.decisions.upstreamstate import Upstream
 from dragonflyknot.peers import sitewire
@@ -37,7 +39,6 @@
     VersionedRow,
 )
 
-WRITE_PAUSE_S: Final = 0.3
 REAP_S: Final = 5.0
 LOST_AFTER_S: Final = 15.0
 FEED_PAUSE_S: Final = 1.0
@@ -82,8 +83,12 @@
         self._versions_by_host: dict[str, StoreVersion] = {}
         self._has_read = asyncio.Event()
         self._is_settled = False
-        self._unwritten = asyncio.Event()
-        self._written: asyncio.Future[None] | None = None
+        self._writer = EntryWriter(
+            platform.store,
+            RowName(platform.hosts_table, settings.host),
+            lambda: self.view.own,
+            self._entry_stored,
+        )
         self._own_row: bytes | None = None
         self._epoch = 0
         self._listed_since = float('inf')
@@ -107,6 +112,11 @@
         """Tell whether the store answered the last call of this host."""
         return self._follower.is_reachable
 
+    @property
+    def silent_s(self) -> float:
+        """Return the seconds since the last message of a peer."""
+        return time.monotonic() - self.gossip.heard_at
+
     @property
     def epoch(self) -> int:
         """Return the highest epoch of the store that is known, 0 if none."""
@@ -119,7 +129,7 @@
         from no peer.
         """
         now = time.monotonic()
-        if now - self.gossip.heard_at > ISOLATED_AFTER_S:
+        if self.silent_s > ISOLATED_AFTER_S:
             return True
         if self.view.own is None or not self._is_settled:
             return False
@@ -176,12 +186,10 @@
         )
         if not self.view.adopt_own(entry):
             self._news([self.view.publish(entry, _unix_ms())])
-            self._written = None
-        elif self._written is None and self._is_own_row_stored():
-            # An earlier process wrote the same.
-            self._written = asyncio.get_running_loop().create_future()
-            self._written.set_result(None)
-        return self._write_soon()
+            return self._writer.write_again()
+        if self._is_own_row_stored():
+            self._writer.record_stored()
+        return self._writer.write_soon()
 
     async def restored(self) -> Upstream | None:
         """Return the upstream that an earlier process of this host knew."""
@@ -206,7 +214,7 @@
         self.view.remove(host, stamp)
         if host == self._settings.host and own is not None:
             self._news([self.view.publish(own, _unix_ms())])
-            self._write_again()
+            self._writer.write_again()
             return
         self._balancer.remove(host)
         self._notify_listeners()
@@ -219,7 +227,7 @@
             return
         self._news(news)
         if own_before is not None and self.view.own != own_before:
-            self._write_again()
+            self._writer.write_again()
 
     def settle(self) -> None:
         """Note that this process has learnt which hosts there are."""
@@ -238,7 +246,7 @@
             group.create_task(keep_running(self.gossip.push_on))
             group.create_task(keep_running(self.gossip.push_versions_on))
             group.create_task(keep_running(self.gossip.check_followers_on))
-            group.create_task(keep_running(self._write_on))
+            group.create_task(keep_running(self._writer.run))
             group.create_task(keep_running(self._reap_on))
 
     def _read(self, snapshot: Snapshot) -> None:
@@ -283,8 +291,8 @@
 
     def _keep_own_row(self, snapshot: Snapshot) -> None:
         """Write the own row again if the store has lost it or has an older."""
-        own, written = self.view.own, self._written
-        if own is None or written is None or not written.done():
+        own = self.view.own
+        if own is None or not self._writer.has_stored:
             return
         stored = [
             row.content
@@ -293,7 +301,7 @@
         ]
         if stored != [sitewire.encode_entry(own)]:
             _log.warning('entry_lost', stamp=own.stamp, rows=len(stored))
-            self._write_again()
+            self._writer.write_again()
 
     def _restore_row(self, host: str, content: bytes) -> None:
         """Write the own row again if another writer has spoilt it."""
@@ -302,8 +310,8 @@
             return
         if content == sitewire.encode_entry(own):
             return
-        if self._written is None or self._written.done():
-            self._write_again()
+        if self._writer.is_idle:
+            self._writer.write_again()
 
     def _news(self, entries: list[SiteEntry]) -> None:
         for entry in entries:
@@ -315,47 +323,17 @@
         for listener in self._listeners:
             listener()
 
-    def _write_soon(self) -> asyncio.Future[None]:
-        if self._written is None:
-            loop = asyncio.get_running_loop()
-            self._written = loop.create_future()
-            self._unwritten.set()
-        return self._written
-
-    def _write_again(self) -> None:
-        self._written = None
-        self._write_soon()
-
     async def _read_without_announcement(self) -> None:
         """Read the table if no upstream announces itself at a first start."""
         await asyncio.sleep(FIRST_ANNOUNCEMENT_S)
         if not self._has_read.is_set():
             self._follower.read_soon()
 
-    async def _write_on(self) -> None:
-        while True:
-            await self._unwritten.wait()
-            self._unwritten.clear()
-            await self._write()
-
-    async def _write(self) -> None:
-        while (own := self.view.own) is not None:
-            written = self._written
-            name = RowName(self._table, self._settings.host)
-            try:
-                await self._store.put(name, sitewire.encode_entry(own))
-            except StoreOut as out:
-                _log.info('entry_not_written', reason=out.reason)
-                await asyncio.sleep(WRITE_PAUSE_S * (1 + random.random()))
-                continue
-            if own == self.view.own:
-                if not self.gossip.peers():
-                    # Of two hosts that start together, the later one to
-                    # write reads about the other.
-                    self._follower.read_soon()
-                if written is not None and not written.done():
-                    written.set_result(None)
-                return
+    def _entry_stored(self) -> None:
+        if not self.gossip.peers():
+            # Of two hosts that start together, the later one to write reads
+            # about the other.
+            self._follower.read_soon()
 
     async def _reap_on(self) -> None:
         while True:
--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -248,7 +248,7 @@
                     await self._ask(source)
                 else:
                     await self._follower.refresh()
-        except (StoreOut, LinkLost, TimeoutError, zlib.error) as error:
+        except (StoreOut, LinkLost, TimeoutError) as error:
             _log.info('configuration_not_fetched', error=type(error).__name__)
         if self.version < self._wanted:
             await asyncio.sleep(FETCH_PAUSE_S)
@@ -258,10 +258,17 @@
             address, sitewire.COMPRESSED_CONFIGURATION_PATH, b''
         )
         if compressed:
-            inflate = zlib.decompressobj()
-            self.apply_content(
-                inflate.decompress(compressed, MAX_CONFIGURATION_BYTES)
-            )
+            self.apply_content(_inflate(compressed))
+
+
+def _inflate(compressed: bytes) -> bytes:
+    """Return the text of a configuration, empty if it is malformed."""
+    try:
+        return zlib.decompressobj().decompress(
+            compressed, MAX_CONFIGURATION_BYTES
+        )
+    except zlib.error:
+        return b''
 
 
 def _random_near(addresses: list[str]) -> str:
--- a/packages/daemon/src/dragonflyknot/daemon/siterates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siterates.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from dragonflyknot.decisions.balancer import Place
+from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.demand import (
     MeterReply,
     RateLimit,
--- a/packages/decisions/src/dragonflyknot/decisions/meterchoice.py
+++ b/packages/decisions/src/dragonflyknot/decisions/meterchoice.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.hostorder import position_of
 
 AVOIDED_S: Final = 3.0
--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -21,8 +21,8 @@
 from hashlib import sha256
 from typing import Final
 
-from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.hostorder import position_of
 
 DIGEST_DIGITS: Final = 16
--- a/packages/exchange/src/dragonflyknot/exchange/hopheaders.py
+++ b/packages/exchange/src/dragonflyknot/exchange/hopheaders.py
@@ -12,8 +12,8 @@
 
 from result import Err, Ok, Result
 
-from dragonflyknot.decisions.balancer import MAX_SLOTS, Load
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import MAX_SLOTS, Load
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.siteconfig import HIGHEST_CALL_PRIORITY
 from dragonflyknot.exchange.jsonfields import is_name
--- a/packages/peers/src/dragonflyknot/peers/sitelinks.py
+++ b/packages/peers/src/dragonflyknot/peers/sitelinks.py
@@ -13,7 +13,8 @@
 
 from result import Err, Ok
 
-from dragonflyknot.decisions.balancer import Balancer, Candidate, Load
+from dragonflyknot.decisions.balancer import Balancer
+from dragonflyknot.decisions.candidates import Candidate, Load
 from dragonflyknot.decisions.refusals import Refusal, rule_of
 from dragonflyknot.exchange import dialect, hopheaders, links
 from dragonflyknot.exchange.clientlink import (
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -15,8 +15,8 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from dragonflyknot.decisions.balancer import MAX_SLOTS, Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import MAX_SLOTS, Place
 from dragonflyknot.decisions.siteview import MAX_STAMP, SiteEntry, Stamps
 from dragonflyknot.decisions.upstreamstate import MAX_BORN_MS
 from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
--- a/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/announcements.py
@@ -14,8 +14,8 @@
 )
 from result import Err, Ok, Result
 
-from dragonflyknot.decisions.balancer import MAX_SLOTS
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import MAX_SLOTS
 from dragonflyknot.exchange.addresses import has_port
 
 ANNOUNCEMENT_TTL_S = 3.0
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -9,8 +9,8 @@
 import time
 from typing import Final
 
-from dragonflyknot.decisions.balancer import Load
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Load
 from dragonflyknot.decisions.origins import Origin, RunningRequests
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.slotqueue import SlotDecision, SlotQueue, Waiter
--- a/tests/ratefleet.py
+++ b/tests/ratefleet.py
@@ -12,8 +12,8 @@
 
 from dragonflyknot.daemon.siterates import SiteRates
 from dragonflyknot.daemon.tasks import Tasks
-from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.demand import RateLimit
 from dragonflyknot.decisions.siteconfig import (
     SiteConfiguration,
--- a/tests/unit/test_balancer.py
+++ b/tests/unit/test_balancer.py
@@ -5,15 +5,15 @@
 
 import testtools
 
-from dragonflyknot.decisions.balancer import (
-    Balancer,
+from dragonflyknot.decisions.balancer import Balancer
+from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import (
     Candidate,
     Ending,
     HostQuery,
     Load,
     Place,
 )
-from dragonflyknot.decisions.calls import UpstreamState
 
 READY = UpstreamState.READY
 
--- a/tests/unit/test_followers.py
+++ b/tests/unit/test_followers.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.followers import FOLLOWERS_PER_REGION, follows
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView
 
--- a/tests/unit/test_grey_upstreams.py
+++ b/tests/unit/test_grey_upstreams.py
@@ -11,14 +11,14 @@
 
 import testtools
 
-from dragonflyknot.decisions.balancer import (
-    Balancer,
+from dragonflyknot.decisions.balancer import Balancer
+from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import (
     Candidate,
     Ending,
     HostQuery,
     Place,
 )
-from dragonflyknot.decisions.calls import UpstreamState
 
 HOSTS = 6
 REQUESTS_PER_S = 60
--- a/tests/unit/test_hop_heads.py
+++ b/tests/unit/test_hop_heads.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 from result import Ok
 
-from dragonflyknot.decisions.balancer import Load
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Load
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.exchange import hopheaders, links
 
--- a/tests/unit/test_shedding_service.py
+++ b/tests/unit/test_shedding_service.py
@@ -18,8 +18,9 @@
 from dragonflyknot.callers.forwardedrequest import ForwardedRequest
 from dragonflyknot.callers.requestrunner import RequestRunner
 from dragonflyknot.callers.siteedgeports import SiteEdgeCounts, SiteEdgePorts
-from dragonflyknot.decisions.balancer import Balancer, Candidate, Load, Place
+from dragonflyknot.decisions.balancer import Balancer
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Candidate, Load, Place
 from dragonflyknot.decisions.refusals import Refusal
 from dragonflyknot.decisions.siteconfig import (
     HIGHEST_CALLER_PRIORITY,
--- a/tests/unit/test_site_view.py
+++ b/tests/unit/test_site_view.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from dragonflyknot.decisions.balancer import Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView
 
 
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -6,8 +6,8 @@
 import testtools
 from hypothesis import given, settings
 
-from dragonflyknot.decisions.balancer import MAX_SLOTS, Place
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.candidates import MAX_SLOTS, Place
 from dragonflyknot.decisions.siteview import (
     MAX_STAMP,
     SiteEntry,
