Ask for a free slot before waiting for one, where a service has many hosts

Cause: each of 195 daemons sends a few requests a second to 50 hosts of six slots, so its reports of their loads are seconds old; a short call waits behind requests of 1.4 s at one host while another has a free slot.

Change: where a service has more hosts than a daemon compares at once, the first two attempts of a request take a free slot or are refused at once, without having reached an upstream; the next one waits as before. A gate of an older release ignores the field and lets the attempt wait.

--- a/packages/callers/src/dragonflyknot/callers/requestrunner.py
+++ b/packages/callers/src/dragonflyknot/callers/requestrunner.py
@@ -98,6 +98,8 @@
             is_call=forwarded.is_call,
             version=ports.site.version,
             is_retry=forwarded.is_retry or bool(forwarded.reached_hosts),
+            may_wait=bool(forwarded.only_hosts)
+            or ports.balancer.may_wait(forwarded.service, forwarded.sends),
         )
         timed = _TimedAttempt(forwarded, candidate, now)
         hedged = HedgedAttempt(
--- a/packages/decisions/src/dragonflyknot/decisions/balancer.py
+++ b/packages/decisions/src/dragonflyknot/decisions/balancer.py
@@ -31,6 +31,7 @@
 NEAR_SAMPLE_SIZE: Final = 4
 REGION_SAMPLE_SIZE: Final = 2
 FAR_SAMPLE_SIZE: Final = 3
+PROBES: Final = 2
 UNHEALTHY_FAILURE_RATIO: Final = 0.3
 LATE_AFTER_RATIO: Final = 3.0
 MIN_LATE_AFTER_S: Final = 0.15
@@ -103,6 +104,16 @@
         service_mean_s = self._service_mean_s(query.service, query.route, now)
         return _pick_cheapest(eligible, query.route, service_mean_s, now, rng)
 
+    def may_wait(self, service: str, sends: int) -> bool:
+        """Tell whether an attempt may wait for a slot at its host.
+
+        `sends` counts the attempts of the request, from 1. Of many hosts, one
+        daemon hears of each only now and then, and its reports are old. Its
+        first attempts ask for a free slot; the last ones wait for one.
+        """
+        hosts = self._hosts_by_service.get(service, {})
+        return len(hosts) <= CANDIDATE_SAMPLE_SIZE or sends > PROBES
+
     def has_other(self, query: HostQuery) -> bool:
         """Tell whether an eligible host is ready."""
         hosts = self._hosts_by_service.get(query.service, {})
--- a/packages/decisions/src/dragonflyknot/decisions/slotqueue.py
+++ b/packages/decisions/src/dragonflyknot/decisions/slotqueue.py
@@ -95,11 +95,16 @@
         self._service_time_by_group: dict[str, _ServiceTime] = {}
         self._queued_s_by_level = [float(0) for _ in range(PRIORITY_LEVELS)]
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Tell whether an attempt that arrives now would start at once."""
+        return self.running < self.slots and not self.waiting
+
     def arrive(self, waiter: Waiter, now: float) -> SlotDecision:
         """Start an attempt, queue it or refuse it."""
         if self.slots <= 0:
             return SlotDecision.REFUSE
-        if self.running < self.slots and not self.waiting:
+        if self.has_free_slot:
             self._start(waiter, now)
             return SlotDecision.START
         wait_s = self._wait_s(waiter, now)
--- a/packages/exchange/src/dragonflyknot/exchange/hopheaders.py
+++ b/packages/exchange/src/dragonflyknot/exchange/hopheaders.py
@@ -25,6 +25,7 @@
 # Milliseconds, counts and versions; quotients and sums stay exact floats.
 _MAX_NUMBER: Final = 10**15
 _IS_RETRY_FIELD: Final = slice(9, 10)
+_MAY_WAIT_FIELD: Final = slice(10, 11)
 _MAKES_CALLS_FIELD: Final = slice(5, 6)
 _FALSE: Final = b'0'
 _TRUE: Final = b'1'
@@ -40,7 +41,8 @@
     the target latency, within which a response is worth most, both in
     seconds. `is_call` marks a call that another service made while it served
     a request. `version` is that of the sender's configuration. `is_retry`
-    marks an attempt that counts as a retry if it runs.
+    marks an attempt that counts as a retry if it runs. If not `may_wait`, the
+    gate refuses the attempt at once unless a slot is free.
     """
 
     service: str
@@ -53,6 +55,7 @@
     is_call: bool
     version: int
     is_retry: bool = False
+    may_wait: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +74,7 @@
     names = _quote_names(hop.service, hop.workspace, hop.caller, hop.route)
     left_ms = int(hop.left_s * MS_PER_SECOND)
     target_left_ms = int(hop.target_left_s * MS_PER_SECOND)
-    return b'%b,%d,%d,%d,%d,%d,%d' % (
+    return b'%b,%d,%d,%d,%d,%d,%d,%d' % (
         names,
         hop.priority,
         left_ms,
@@ -79,6 +82,7 @@
         hop.is_call,
         hop.version,
         hop.is_retry,
+        hop.may_wait,
     )
 
 
@@ -106,6 +110,7 @@
             is_call=bool(numbers[3]),
             version=numbers[4],
             is_retry=fields[_IS_RETRY_FIELD] == [_TRUE],
+            may_wait=fields[_MAY_WAIT_FIELD] != [_FALSE],
         )
     )
 
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -152,6 +152,8 @@
         return instance.decode('latin-1')
 
     async def _run(self, hop: Hop, outgoing: OutgoingRequest) -> Outcome:
+        if not hop.may_wait and not self._queue.has_free_slot:
+            return NotRun(Refusal.SHED)
         now = time.monotonic()
         deadline = now + hop.left_s
         self._attempt_count += 1
