--- a/tests/unit/test_followers.py
+++ b/tests/unit/test_followers.py
@@ -6,7 +6,14 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Place
-from dragonflyknot.decisions.followers import FOLLOWERS_PER_REGION, follows
+from dragonflyknot.decisions.followers import (
+    DOUBT_S,
+    FOLLOWERS_PER_REGION,
+    STANDBYS_PER_REGION,
+    FollowerChoice,
+    follows,
+)
+from dragonflyknot.decisions.hostorder import position_of
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView
 
 HOSTS = tuple(f'host-{number}' for number in range(40))
@@ -59,6 +66,49 @@
         self.assertTrue(follows('own', 'north', remote, set()))
 
 
+class FollowerChoiceTest(testtools.TestCase):
+    """Standbys check on the followers, and take over from lost ones."""
+
+    def setUp(self) -> None:
+        """Order the hosts of one region as they all do."""
+        super().setUp()
+        self.entries = [entry(host) for host in HOSTS]
+        self.order = sorted(HOSTS, key=position_of)
+
+    def checked(self, choice: FollowerChoice, now: float = 0) -> list[str]:
+        """Return the hosts on which a host checks."""
+        return [
+            one.place.host for one in choice.hosts_to_check(self.entries, now)
+        ]
+
+    def test_followers_and_standbys(self) -> None:
+        """Check on the followers from a few hosts only."""
+        standby = FOLLOWERS_PER_REGION + STANDBYS_PER_REGION - 1
+        for rank, expected in (
+            (0, 0),
+            (FOLLOWERS_PER_REGION - 1, FOLLOWERS_PER_REGION - 1),
+            (standby, FOLLOWERS_PER_REGION),
+            (standby + 1, 0),
+        ):
+            choice = FollowerChoice(self.order[rank], 'north')
+            self.assertEqual(self.order[:expected], self.checked(choice))
+
+    # Guards against a region that nobody follows the store for, as the first
+    # hosts are lost or turned away.
+    def test_standby_takes_over(self) -> None:
+        """Follow while a follower is doubted, and no longer."""
+        choice = FollowerChoice(self.order[FOLLOWERS_PER_REGION], 'north')
+        self.assertFalse(choice.follows(self.entries, 0))
+        choice.record_doubt(self.order[1], 0)
+        self.assertTrue(choice.follows(self.entries, DOUBT_S / 2))
+        # The doubted one is checked as well: it may have come back.
+        self.assertIn(self.order[1], self.checked(choice))
+        choice.end_doubt(self.order[1])
+        self.assertFalse(choice.follows(self.entries, DOUBT_S / 2))
+        choice.record_doubt(self.order[1], 0)
+        self.assertFalse(choice.follows(self.entries, DOUBT_S * 2))
+
+
 class GossipTest(testtools.TestCase):
     """Exchanges with random peers propagate entries and removals."""
 
@@ -76,7 +126,9 @@
         for _round in range(rounds):
             for view in self.views:
                 peer = self.rng.choice(self.views)
-                stamps = peer.stamps()
+                stamps = peer.stamps(
+                    peer.differing_buckets(view.bucket_digests())
+                )
                 for host in view.removed_elsewhere(stamps):
                     view.remove(host)
                 outdated = view.outdated_hosts(stamps)
--- a/tests/unit/test_site_view.py
+++ b/tests/unit/test_site_view.py
@@ -6,7 +6,11 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Place
-from dragonflyknot.decisions.siteview import SiteEntry, SiteView
+from dragonflyknot.decisions.siteview import (
+    SiteEntry,
+    SiteView,
+    bucket_of,
+)
 
 
 def entry(host: str, stamp: int, slots: int = 10) -> SiteEntry:
@@ -87,3 +91,41 @@
         self.assertEqual(first.digest(), second.digest())
         second.merge([replace(entry('x', 3), stamp=4)])
         self.assertNotEqual(first.digest(), second.digest())
+
+
+class BucketTest(testtools.TestCase):
+    """Two hosts exchange the stamps of the buckets that differ alone."""
+
+    def setUp(self) -> None:
+        """Let two views know the same hosts, but for one change."""
+        super().setUp()
+        self.entries = [entry(f'host-{number}', 3) for number in range(200)]
+        self.view = SiteView('own')
+        self.peer = SiteView('peer')
+        for view in (self.view, self.peer):
+            view.merge(self.entries)
+        self.peer.merge([entry('host-7', 4)])
+
+    # Guards against all stamps of a large site travelling at each change.
+    def test_one_change(self) -> None:
+        """Cover a few hosts, among them the one that changed."""
+        buckets = self.peer.differing_buckets(self.view.bucket_digests())
+        self.assertEqual(frozenset({bucket_of('host-7')}), buckets)
+        stamps = self.peer.stamps(buckets)
+        self.assertLess(len(stamps.entries), 30)
+        self.assertEqual(['host-7'], self.view.outdated_hosts(stamps))
+
+    # Guards against entries of other buckets that are sent as if the peer
+    # lacked them.
+    def test_hosts_of_other_buckets_are_not_sent(self) -> None:
+        """Send only what the covered stamps show to be missing."""
+        self.view.merge([entry('host-7', 5)])
+        buckets = self.peer.differing_buckets(self.view.bucket_digests())
+        stamps = self.peer.stamps(buckets)
+        self.assertEqual([entry('host-7', 5)], self.view.newer_than(stamps))
+
+    def test_peer_of_another_release(self) -> None:
+        """Compare all hosts where the peer names no or other buckets."""
+        self.assertIsNone(self.view.differing_buckets(()))
+        self.assertIsNone(self.view.differing_buckets(('a', 'b')))
+        self.assertEqual(200, len(self.view.stamps().entries))
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -146,6 +146,29 @@
         content = sitewire.encode_gossip(message)
         self.assertEqual(message, sitewire.decode_gossip(content))
 
+    def test_round_trip_of_a_comparison(self) -> None:
+        """Carry digests and stamps of buckets, and what the sender knows."""
+        stamps = Stamps({'h': 4}, {}, frozenset({3, 5}))
+        message = sitewire.SiteGossip(
+            7,
+            'd',
+            stamps=stamps,
+            bucket_digests=('a1', 'b2'),
+            sender='h',
+            epoch=3,
+            has_store=False,
+        )
+        content = sitewire.encode_gossip(message)
+        self.assertEqual(message, sitewire.decode_gossip(content))
+
+    # Guards against a site that falls apart while releases are mixed.
+    def test_message_of_an_earlier_release(self) -> None:
+        """Read a message without what later releases add."""
+        decoded = sitewire.decode_gossip(gossip(ENTRY, stamps={'h': 1}))
+        assert decoded is not None and decoded.stamps is not None
+        self.assertIsNone(decoded.stamps.buckets)
+        self.assertTrue(decoded.has_store)
+
     def test_one_odd_entry(self) -> None:
         """Hold the entries beside one that can't be read."""
         odd_ones: tuple[Any, ...] = ({**ENTRY, 'slots': 10**400}, {}, [], None)
@@ -172,6 +195,12 @@
             gossip(stamps={'\ud800': 1}),
             gossip(digest='\ud800'),
             gossip(entries={'h': ENTRY}),
+            gossip(epoch=-1),
+            gossip(epoch=10**16),
+            gossip(store='yes'),
+            gossip(sender=5),
+            gossip(buckets=[1]),
+            gossip(stamps={'h': 1}, stamped_buckets=['x']),
             b'[]',
         ):
             self.assertIsNone(sitewire.decode_gossip(content))
