Use no connection to an upstream again after bytes that nobody waits for

Cause: the HTTP library hands the bytes that arrive on an idle connection to the next request.

Change: a connection counts as closed once bytes arrived on it that nobody waits for, and after any answer 503, whose copy could pass for a promise.

Left: a copy of an answer other than 503 that arrives after the next request was sent; answers of this interface carry no id. The daemon of the platform checks ids and has its own links.

--- a/packages/exchange/src/dragonflyknot/exchange/sessions.py
+++ b/packages/exchange/src/dragonflyknot/exchange/sessions.py
@@ -1,6 +1,17 @@
-"""Create HTTP client sessions that forward requests unchanged."""
+"""Create HTTP client sessions that forward requests unchanged.
+
+An upstream may write an answer twice. The second copy must not be taken for
+the answer to the next request, so a connection on which bytes arrived that
+nobody waits for, or on which a request was refused, is not used again.
+"""
+
+import asyncio
+from functools import partial
+from http import HTTPStatus
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
@@ -14,13 +25,39 @@
 )
 
 
+class _KeptConnection(ResponseHandler):
+    """A connection that counts as closed once it must not be used again."""
+
+    def is_connected(self) -> bool:
+        """Tell whether the connection may carry another request."""
+        return super().is_connected() and not self.should_close
+
+
+class _RelayedResponse(aiohttp.ClientResponse):
+    """A response whose connection is not used again after a refusal."""
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """Read the head; a response without a body returns its connection."""
+        protocol = connection.protocol
+        response = await super().start(connection)
+        is_refusal = self.status == HTTPStatus.SERVICE_UNAVAILABLE
+        if is_refusal and protocol is not None:
+            protocol.force_close()
+        return response
+
+
 def relay_session() -> aiohttp.ClientSession:
     """Return a session that forwards without decoding or retrying."""
     connector = aiohttp.TCPConnector(
         limit=0, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
     )
+    kept_connection: partial[ResponseHandler] = partial(
+        _KeptConnection, loop=asyncio.get_running_loop()
+    )
+    connector._factory = kept_connection
     session = aiohttp.ClientSession(
         connector=connector,
+        response_class=_RelayedResponse,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_AUTOMATIC_HEADERS,
--- a/tests/unit/test_dispatch_extra_answers.py
+++ b/tests/unit/test_dispatch_extra_answers.py
@@ -19,6 +19,41 @@
 SERVED = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
 
+class ExtraAnswerTest(testtools.TestCase):
+    """An upstream writes an answer once more on an idle connection."""
+
+    # Guards against a caller that gets the answer to another request.
+    def test_second_copy_goes_to_nobody(self) -> None:
+        """Answer the next request on another connection."""
+        connections: list[int] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            number = len(connections)
+            connections.append(number)
+            try:
+                while await reader.readuntil(b'\r\n\r\n'):
+                    answer = SERVED.replace(b'OK', b'OK-%d' % number)
+                    writer.write(answer)
+                    await asyncio.sleep(0.02)
+                    writer.write(answer)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+
+        async def body() -> None:
+            server = await asyncio.start_server(serve, '127.0.0.1', 0)
+            port = server.sockets[0].getsockname()[1]
+            async with server, relay_session() as session:
+                for number in range(3):
+                    url = f'http://127.0.0.1:{port}/x'
+                    async with session.get(url) as answer:
+                        self.assertEqual(f'OK-{number}', answer.reason)
+                    await asyncio.sleep(0.05)
+
+        run_async(body())
+
+
 class ExtraRefusalTest(testtools.TestCase):
     """An upstream writes a refusal once more before the next answer."""
 
