--- a/packages/exchange/src/dragonflyknot/exchange/sessions.py
+++ b/packages/exchange/src/dragonflyknot/exchange/sessions.py
@@ -51,10 +51,8 @@
     connector = aiohttp.TCPConnector(
         limit=0, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
     )
-    kept_connection: partial[ResponseHandler] = partial(
-        _KeptConnection, loop=asyncio.get_running_loop()
-    )
-    connector._factory = kept_connection
+    protocol: type[ResponseHandler] = _KeptConnection
+    connector._factory = partial(protocol, loop=asyncio.get_running_loop())
     session = aiohttp.ClientSession(
         connector=connector,
         response_class=_RelayedResponse,
