--- a/tests/virtualclock.py
+++ b/tests/virtualclock.py
@@ -11,7 +11,7 @@
 _Result = TypeVar('_Result')
 
 
-class _JumpingSelector(selectors.SelectSelector):
+class _JumpingSelector(selectors.PollSelector):
     """Advance the time by each wait instead of waiting."""
 
     def __init__(self) -> None:
