Send to another region only when all that was drawn nearby is full

Cause: under a surge everybody nearby counts as congested, with six tenths of its slots in use, and so the slow link was used while nearer hosts had free slots.

Change: hosts of another region are drawn when all of those drawn nearby are full. test_region_without_room holds.

Tried besides and not taken: reserve retries for a chain that found none left.

--- a/packages/decisions/src/dragonflyknot/decisions/balancer.py
+++ b/packages/decisions/src/dragonflyknot/decisions/balancer.py
@@ -5,7 +5,7 @@
 a penalty for the network distance and a penalty for recent failures. The
 cheapest of a few candidates is selected. If there are many, most of the few
 are taken from the own data center, and another region is considered only
-when none of the nearer ones has room.
+when all of the nearer ones are full.
 """
 
 from collections.abc import Iterable
@@ -256,7 +256,7 @@
     sampled = _draw(near, NEAR_SAMPLE_SIZE, rng)
     missing = NEAR_SAMPLE_SIZE - len(sampled)
     sampled += _draw(region, REGION_SAMPLE_SIZE + missing, rng)
-    if not any(candidate.has_room(now) for candidate in sampled):
+    if all(candidate.is_full(now) for candidate in sampled):
         sampled += _draw(far, FAR_SAMPLE_SIZE, rng)
     return sampled
 
--- a/packages/decisions/src/dragonflyknot/decisions/candidates.py
+++ b/packages/decisions/src/dragonflyknot/decisions/candidates.py
@@ -186,6 +186,10 @@
             and self._utilization(now) < CONGESTED_UTILIZATION
         )
 
+    def is_full(self, now: float) -> bool:
+        """Tell whether all slots are in use as far as is known."""
+        return self._utilization(now) > 1
+
     def latency_s(self, route: str, service_mean_s: float, now: float) -> float:
         """Return the latency of a route here, in seconds.
 
