--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -70,6 +70,7 @@
 class PeerGossip:
     """Exchange entries with peers.
 
+    `followers` tells who follows the store for the region.
     `unreached_since_by_host` holds the monotonic time since which a peer has
     not answered, `heard_at` the time of the last message of any peer.
     """
@@ -213,17 +214,22 @@
 
     def _learn(self, received: sitewire.SiteGossip) -> None:
         """Apply what every message of a peer tells."""
+        self.heard_at = time.monotonic()
         sender = self._view.entries_by_host.get(received.sender)
-        self._policy.record_peer_version(
-            received.version, '' if sender is None else sender.place.address
-        )
+        if sender is None:
+            # A new host, or one of a release that does not name itself.
+            self._policy.record_peer_version(received.version)
+        else:
+            self._learn_of(sender.place, received)
         self._membership.record_epoch(received.epoch)
-        self.heard_at = time.monotonic()
+        self._membership.merge(received.entries)
+
+    def _learn_of(self, place: Place, received: sitewire.SiteGossip) -> None:
+        self._policy.record_peer_version(received.version, place.address)
         if received.has_store:
-            self.followers.end_doubt(received.sender)
+            self.followers.end_doubt(place.host)
         else:
-            self.followers.record_doubt(received.sender, self.heard_at)
-        self._membership.merge(received.entries)
+            self.followers.record_doubt(place.host, self.heard_at)
 
     def _reply(self, received: sitewire.SiteGossip) -> sitewire.SiteGossip:
         own = self._view.entries_by_host
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -91,6 +91,7 @@
         )
         self._own_row: bytes | None = None
         self._epoch = 0
+        # Monotonic time since which the own entry is in the view.
         self._listed_since = float('inf')
         self.view = SiteView(settings.host)
         self.gossip = PeerGossip(settings, links, policy, self.view, self)
@@ -131,10 +132,7 @@
         now = time.monotonic()
         if self.silent_s > ISOLATED_AFTER_S:
             return True
-        if self.view.own is None or not self._is_settled:
-            return False
-        self._listed_since = min(self._listed_since, now)
-        if now < self._listed_since + FOLLOW_AFTER_S:
+        if now < self._listed_since + FOLLOW_AFTER_S or not self._is_settled:
             return False
         return self.gossip.followers.follows(
             self.view.entries_by_host.values(), now
@@ -314,6 +312,8 @@
             self._writer.write_again()
 
     def _news(self, entries: list[SiteEntry]) -> None:
+        if self.view.own is not None:
+            self._listed_since = min(self._listed_since, time.monotonic())
         for entry in entries:
             self._balancer.update(entry.place)
         self.gossip.publish(entries)
