--- a/review/common/site.py
+++ b/review/common/site.py
@@ -100,7 +100,7 @@
         self.store = Store()
         self.daemons: dict[str, Daemon] = {}
         self.targets: dict[str, Target] = {}
-        self._folder = Path(tempfile.mkdtemp(prefix='review-'))
+        self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._tasks: set[asyncio.Task[None]] = set()
         self._version = 0
 
