--- a/review/common/site.py
+++ b/review/common/site.py
@@ -46,15 +46,13 @@
         ports = free_ports(len(names))
         self.ports = dict(zip(names, ports, strict=True))
         self.process: asyncio.subprocess.Process | None = None
-        self.ends = 0
-        self.seen_inbound = ''
-        self.app = ''
+        self.store = ''
 
     def at(self, name: str) -> str:
         """Return an address of the daemon."""
         return f'127.0.0.1:{self.ports[name]}'
 
-    def settings(self, store: str, regions: dict[str, str]) -> str:
+    def settings(self, regions: dict[str, str]) -> str:
         """Return the settings file."""
         bounds = json.dumps(BOUNDS.split(','))
         figures = self.ports['figures']
@@ -74,17 +72,17 @@
 entry_mode = "local"
 heartbeat = "1500ms"
 bounds = {bounds}
-app_addr = "{self.app or self.at('app')}"
+app_addr = "{self.at('app')}"
 service = "{self.service}"
 [zones]
 {zones}
 [listen]
-inbound = "{self.seen_inbound or self.at('inbound')}"
+inbound = "{self.at('inbound')}"
 outbound = "{self.at('outbound')}"
 readiness = "{self.at('readiness')}"
 admin = "{self.at('admin')}"
 [platform]
-address = "{store}"
+address = "{self.store}"
 form = "table"
 writes_per_s = 400
 reads_per_s = 2000
@@ -125,10 +123,13 @@
         self.targets[name] = target
         return target
 
-    async def start(self, routes: Iterable[dict[str, object]]) -> None:
+    async def start(
+        self,
+        routes: Iterable[dict[str, object]],
+        keys: Iterable[str] = ('key',),
+    ) -> None:
         """Start everything and wait until all daemons are ready."""
-        await self.store.start()
-        await self.configure(routes)
+        await self.configure(routes, keys=keys)
         for target in self.targets.values():
             await target.start()
         for daemon in self.daemons.values():
@@ -178,9 +179,11 @@
 
     async def launch(self, daemon: Daemon) -> None:
         """Start a daemon's process with the command of the deploy file."""
+        if not daemon.store:
+            daemon.store = await self.store.listen(daemon.name)
         path = self._folder / f'{daemon.name}.toml'
         regions = {one.zone: one.region for one in self.daemons.values()}
-        path.write_text(daemon.settings(self.store.address, regions))
+        path.write_text(daemon.settings(regions))
         environ = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -232,6 +235,7 @@
         """Wait until a daemon is ready."""
         async with asyncio.timeout(READY_S):
             while not await self.is_ready(daemon):
+                assert daemon.process and daemon.process.returncode is None
                 await asyncio.sleep(0.05)
         self.record.say('ready', daemon.name)
 
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import time
 from typing import Any
@@ -14,7 +15,11 @@
 
 
 class Store:
-    """Keep rows by table and key, and a history for the feed."""
+    """Keep rows by table and key, and a history for the feed.
+
+    Calls of machines in `turned_away` get no response; calls that they made
+    before do.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
@@ -22,19 +27,21 @@
         self.history: list[dict[str, Any]] = []
         self.version = 0
         self._changed = asyncio.Condition()
-        self._server: asyncio.Server | None = None
-        self.address = ''
+        self._servers: list[asyncio.Server] = []
+        self.turned_away: set[str] = set()
 
-    async def start(self) -> None:
-        """Listen on a free port of loopback."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
+    async def listen(self, machine: str) -> str:
+        """Listen for one machine on a free port; return the address."""
+        server = await asyncio.start_server(
+            functools.partial(self._serve, machine), '127.0.0.1', 0
+        )
+        self._servers.append(server)
+        return f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
 
     def close(self) -> None:
         """Stop listening."""
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
     async def put(self, table: str, key: str, content: bytes) -> None:
         """Write a row, as the operator does."""
@@ -44,10 +51,17 @@
             self._changed.notify_all()
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        machine: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         try:
             while (request := await read_message(reader)) is not None:
+                if machine in self.turned_away:
+                    # No response, and nothing further on this connection.
+                    await reader.read()
+                    return
                 status, answer = await self._answer(request)
                 content = json.dumps(answer).encode()
                 headers = {'Content-Type': 'application/json'}
