--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,137 +1,99 @@
-"""Kill the daemon beside a target while uploads to that target arrive.
+"""Restart a daemon after it acknowledged that its target leaves.
 
-The daemons that took the uploads from their clients were not disturbed, and
-yet close the clients' kept connections without an answer.
+A heartbeat that was sent before arrives late, at the new process, which takes
+the target as ready again. The target goes on for some seconds, as the pages
+say, and gets requests all the while.
 """
 
 import asyncio
-import itertools
 import sys
 from pathlib import Path
 
 from common.site import Site, route, run, with_trouble
-from common.wire import Message, encode, read_message
 
-CLIENTS = 6
-UPLOAD_BYTES = 60_800_000
-PIECE_BYTES = 64_000
-READ_PAUSE_S = 0.01
-DEADLINE_MS = 20000
-KILL_AFTER_S = 2.0
-MOST_LOST = 3
-_attempts = itertools.count(1)
-
-
-class Client:
-    """Upload on one kept connection.
-
-    A status of 0 stands for a connection that the daemon closed without an
-    answer, -1 for a client that gave up at its deadline.
-    """
-
-    def __init__(self, site: Site, number: int) -> None:
-        self.site = site
-        self.number = number
-        self.daemon = site.daemons['edge']
-        self.lost = 0
-
-    async def open(self) -> None:
-        ip, _colon, port = self.daemon.at('outbound').rpartition(':')
-        self.reader, self.writer = await asyncio.open_connection(ip, int(port))
-
-    def close(self) -> None:
-        self.writer.transport.abort()
-
-    async def read(self) -> int:
-        """Make a small read, so that the connection is a kept one."""
-        attempt = f'r{next(_attempts):08d}'
-        at = self.site.record.now
-        self.writer.write(self._head('GET', '/look/1', attempt))
-        answer = await read_message(self.reader)
-        status = answer.status if answer else 0
-        self.site.record.answered(attempt, self.daemon.name, at, status)
-        return status
-
-    async def upload(self) -> int:
-        attempt = f'u{next(_attempts):08d}'
-        at = self.site.record.now
-        try:
-            async with asyncio.timeout(DEADLINE_MS / 1000):
-                answer = await self._upload(attempt)
-            status = answer.status if answer else 0
-        except TimeoutError:
-            status = -1
-        except (OSError, asyncio.IncompleteReadError) as error:
-            self.site.record.write('no answer:', attempt, repr(error))
-            status = 0
-        self.site.record.answered(attempt, self.daemon.name, at, status)
-        return status
-
-    async def _upload(self, attempt: str) -> Message | None:
-        """Send the body in pieces and read the answer meanwhile."""
-        head = self._head('POST', '/sample/1', attempt, UPLOAD_BYTES)
-        sending = asyncio.ensure_future(self._send(head))
-        try:
-            return await read_message(self.reader)
-        finally:
-            sending.cancel()
-            await asyncio.gather(sending, return_exceptions=True)
-
-    async def _send(self, head: bytes) -> None:
-        self.writer.write(head)
-        for _ in range(UPLOAD_BYTES // PIECE_BYTES):
-            self.writer.write(bytes(PIECE_BYTES))
-            await self.writer.drain()
-
-    def _head(
-        self, method: str, path: str, attempt: str, length: int = 0
-    ) -> bytes:
-        headers = {
-            'Host': 'hulo84.example',
-            'Attempt-Id': attempt,
-            'Request-Deadline': str(DEADLINE_MS),
-            'Key': 'key',
-        }
-        empty = encode(f'{method} {path} HTTP/1.1', headers)
-        return empty.replace(b'Length: 0\r\n', b'Length: %d\r\n' % length)
+DRAIN_S = 2.0
+STABLE_S = 3.0
+LATE_S = 3.0
+STAY_S = 12.0
+WORK_S = 0.5
+PER_S = 20.0
 
 
 async def case(site: Site) -> bool:
-    site.add('edge', 'roster', 'taipei-a', slots=104, queue=144)
-    target = site.add(
-        'gate', 'intake', 'taipei-b', slots=104, queue=144,
-        work_s=lambda: 0.14,
+    site.add('edge', 'roster', 'taipei-b', slots=104, queue=144)
+    stays = site.add(
+        'stays', 'booking', slots=104, queue=144, work_s=lambda: WORK_S
+    )
+    leaves = site.add(
+        'leaves', 'booking', slots=104, queue=144, work_s=lambda: WORK_S
     )
-    # The target reads slowly: some 5 MB/s on each connection.
-    target.read_pause_s = READ_PAUSE_S
+    edge, _stays, daemon = site.daemons.values()
     await site.start(
         [
-            route('look', 'roster', timeout='800ms'),
-            route('sample', 'intake', kind='upload', timeout='20000ms'),
+            route(
+                'slot', 'booking', kind='unsafe', timeout='1000ms', priority=0
+            )
         ]
     )
-    await asyncio.sleep(4)
-    clients = [Client(site, number) for number in range(CLIENTS)]
-    for client in clients:
-        await client.open()
-        assert await client.read() == 200
-    gate = site.daemons['gate']
-    uploads = [asyncio.ensure_future(one.upload()) for one in clients]
-    await asyncio.sleep(KILL_AFTER_S)
+    await asyncio.sleep(5)
+
+    async def press() -> None:
+        while True:
+            site.keep(
+                site.send(edge, '/slot/1', method='POST', deadline_ms=5000)
+            )
+            await asyncio.sleep(1 / PER_S)
+
+    site.keep(press())
+    await asyncio.sleep(3)
+
+    # A heartbeat that is on its way while the target deregisters.
+    late = leaves.encode_beat()
+    sent_at = site.record.now
+    site.record.say('heartbeat sent, arrives late:', leaves.sequence)
+    await asyncio.sleep(0.5)
+    assert await leaves.deregister()
+    acknowledged_at = site.record.now
+    site.record.say('deregistration acknowledged')
+    await asyncio.sleep(0.5)
+    restarted_at = site.record.now
     if with_trouble():
-        await site.kill(gate)
-    statuses = await asyncio.gather(*uploads)
-    for client in clients:
-        client.close()
-    lost = statuses.count(0)
-    site.record.say(f'{len(statuses)} uploads, statuses {statuses}')
+        await site.kill(daemon)
+        await site.restart(daemon)
+        restarted_at = site.record.now
+    await asyncio.sleep(sent_at + LATE_S - site.record.now)
+    is_taken = await leaves.send_beat(late)
+    site.record.say('late heartbeat arrived, acknowledged:', is_taken)
+    await asyncio.sleep(acknowledged_at + STAY_S - site.record.now)
+    exited_at = site.record.now
+    leaves.exit()
+    site.record.say('target has exited')
+    await asyncio.sleep(2)
+
+    # Only what was sent while all machines were in touch again counts.
+    from_at = max(acknowledged_at + DRAIN_S, restarted_at + STABLE_S)
+    sent_at_by_attempt = {one.attempt: one.at for one in site.record.sent}
+    reached = [
+        one
+        for one in site.record.runs
+        if one.target == 'leaves' and one.at > from_at
+        and sent_at_by_attempt.get(one.attempt, 0) > from_at
+    ]
+    others = sum(one.at > from_at for one in site.record.runs) - len(reached)
     site.record.say(
-        f'{lost} kept connections were closed without an answer; the target'
-        f' still runs as {target.instance}'
+        f'after {from_at:.1f} s, {from_at - acknowledged_at:.1f} s after the'
+        f' acknowledgement: {len(reached)} requests reached the target that'
+        f' leaves, {others} the other one'
     )
-    is_broken = lost > MOST_LOST
-    site.record.say('LOST', 'broken' if is_broken else 'held')
-    return is_broken
+    assert stays.sequence > 0
+    lost = [
+        one
+        for one in site.record.sent
+        if one.at < exited_at < one.ended and one.status in (0, 502, 504)
+    ]
+    site.record.say(f'{len(lost)} bookings were lost as the target exited')
+    site.record.say('DRAIN', 'broken' if reached else 'held')
+    return bool(reached)
 
 
 sys.exit(run(case, Path(__file__).parent))
