Release what a cancelled attempt holds at a gate, a slot or a place

Cause: asyncio cancels the future of a waiting task at once and runs the task later. A slot that was passed on in between went to a waiter whose future was cancelled already; the gate judged by the future, took it for one that still waits, and nobody released the slot.

Change: the queue knows whether an attempt holds a slot, and withdraw releases either its slot or its place.

--- a/packages/decisions/src/dragonflyknot/decisions/slotqueue.py
+++ b/packages/decisions/src/dragonflyknot/decisions/slotqueue.py
@@ -42,7 +42,8 @@
     """Describe an attempt; times are in monotonic seconds.
 
     `start_by` is the latest time at which a start is useful. Attempts of one
-    `group` share an estimate of the service time.
+    `group` share an estimate of the service time. `is_over` states that the
+    attempt no longer waits, `holds_slot` that it has started and not ended.
     """
 
     attempt: int
@@ -53,6 +54,7 @@
     started_at: float = 0
     service_time_s: float = 0
     is_over: bool = False
+    holds_slot: bool = False
 
 
 @dataclass(slots=True)
@@ -120,6 +122,7 @@
 
         If `is_sample`, the attempt updates the service time of its group.
         """
+        waiter.holds_slot = False
         self.running -= 1
         self._running_by_level[waiter.priority] -= 1
         if is_sample:
@@ -142,6 +145,16 @@
         waiter.is_over = True
         self._count_waiting(waiter, -1)
 
+    def withdraw(self, waiter: Waiter, now: float) -> None:
+        """Release the slot of an attempt, or its place among the waiting.
+
+        An attempt whose caller has left may have been started since.
+        """
+        if waiter.holds_slot:
+            self.finish(waiter, now, is_sample=False)
+        else:
+            self.cancel(waiter)
+
     def clear(self) -> None:
         """Remove all waiting attempts."""
         for flows in self._levels:
@@ -209,6 +222,7 @@
 
     def _start(self, waiter: Waiter, now: float) -> None:
         waiter.is_over = True
+        waiter.holds_slot = True
         waiter.started_at = now
         self.running += 1
         self._running_by_level[waiter.priority] += 1
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -232,22 +232,13 @@
         try:
             return await future is SlotDecision.START
         except asyncio.CancelledError:
-            self._withdraw(waiter, future)
+            self._queue.withdraw(waiter, time.monotonic())
+            self._start_waiters()
             raise
         finally:
             timer.cancel()
             self._decisions_by_attempt.pop(waiter.attempt, None)
 
-    def _withdraw(
-        self, waiter: Waiter, future: asyncio.Future[SlotDecision]
-    ) -> None:
-        if future.done() and not future.cancelled():
-            if future.result() is SlotDecision.START:
-                self._queue.finish(waiter, time.monotonic(), is_sample=False)
-                self._start_waiters()
-            return
-        self._queue.cancel(waiter)
-
     def _on_start_timeout(self, waiter: Waiter) -> None:
         self._queue.cancel(waiter)
         self._wake(waiter, SlotDecision.REFUSE)
