Bound the waits of the store's feeds; report the store of both tables

Cause: a feed call waited for 29 s, and one that is never answered can't be told from one without news. Meanwhile the host told its peers that the store answers it, and that only from the table of hosts, so no standby took over.

Evidence: SilentStoreTest on the code before: version 3 not in force 20 s after it was written, and has_store true while the configuration's table did not answer.

Tests: ManyHostsTest counts the calls that a change causes, with unchanged bounds. Its feeds wait longer than the test now, as a feed that ends without a change is no call of that kind ("['/rows-get', '/rows-feed', '/rows-feed']" was seen where one read is allowed). The follower in test_restored_store gets the wait of 29 s that it had.

--- a/packages/daemon/src/dragonflyknot/daemon/follower.py
+++ b/packages/daemon/src/dragonflyknot/daemon/follower.py
@@ -3,6 +3,10 @@
 The rows are read once and then followed by the feed. Where the history is
 lost, the store was out or it was restored from an older copy, they are read
 again. A host that need not follow reads them only when it is asked to.
+
+A store that answers nothing to a call can't be told from one that has nothing
+new to tell until the call's wait is over. Waits are therefore short: their
+length bounds how long a host may follow in vain.
 """
 
 import asyncio
@@ -21,7 +25,6 @@
     StoreVersion,
 )
 
-WAIT_S: Final = 29.0
 REST_S: Final = 0.5
 BACKOFF_S: Final = 0.3
 LONGEST_BACKOFF_S: Final = 1.5
@@ -34,7 +37,8 @@
     """Keep up with one table; tell whole snapshots and changes apart.
 
     `is_current` tells whether the feed is followed and answers, and
-    `is_reachable` whether the last call was answered.
+    `is_reachable` whether the last call was answered. The store counts as
+    reachable while there is no call to make.
     """
 
     def __init__(
@@ -44,19 +48,22 @@
         read: Callable[[Snapshot], None],
         changed: Callable[[Snapshot], None],
         *,
+        wait_s: float,
         is_wanted: Callable[[], bool] | None = None,
         pause_s: float = 0,
     ) -> None:
         """Keep who is told.
 
-        `is_wanted` tells whether to follow the feed, which is always done
-        where it is not given; `pause_s` is how long changes may gather.
+        `wait_s` is how long a call waits for changes, and `pause_s` how long
+        changes may gather. `is_wanted` tells whether to follow the feed, which
+        is always done where it is not given.
         """
         self._store = store
         self._table = table
         self._read = read
         self._changed = changed
         self._is_wanted = is_wanted or _always
+        self._wait_s = wait_s
         self._pause_s = pause_s
         self._due = asyncio.Event()
         self._version: StoreVersion | None = None
@@ -96,13 +103,16 @@
         elif self._due.is_set():
             await self._read_rows()
         else:
+            self.is_reachable = True
             await self._rest()
 
     async def _follow(self) -> None:
         version = (await self._read_rows()).version
         self._set_current(is_current=True)
         while self._is_wanted():
-            changes = await self._store.changes(self._table, version, WAIT_S)
+            changes = await self._store.changes(
+                self._table, version, self._wait_s
+            )
             self._record_version(changes.version)
             if changes.rows:
                 self._changed(changes)
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -41,6 +41,7 @@
 
 REAP_S: Final = 5.0
 LOST_AFTER_S: Final = 15.0
+FEED_WAIT_S: Final = 5.0
 FEED_PAUSE_S: Final = 1.0
 # New hosts learn who precedes them before they follow.
 FOLLOW_AFTER_S: Final = 2.5
@@ -74,6 +75,7 @@
             self._table,
             self._read,
             self._changed,
+            wait_s=FEED_WAIT_S,
             is_wanted=self.is_follower,
             pause_s=FEED_PAUSE_S,
         )
@@ -110,8 +112,8 @@
 
     @property
     def has_store(self) -> bool:
-        """Tell whether the store answered the last call of this host."""
-        return self._follower.is_reachable
+        """Tell whether the store answers this host, about each table."""
+        return self._follower.is_reachable and self._policy.has_store
 
     @property
     def silent_s(self) -> float:
--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -31,6 +31,8 @@
 from dragonflyknot.peers.sitelinks import PeerLinks
 from dragonflyknot.stores.rowstore import Snapshot, StoreOut, VersionedRow
 
+# Requests have to follow a new version within seconds.
+FEED_WAIT_S: Final = 2.0
 FETCH_S: Final = 0.6
 FETCH_PAUSE_S: Final = 0.1
 MAX_FETCHES: Final = 20
@@ -79,6 +81,7 @@
             platform.configuration_row.table,
             self._apply_rows,
             self._apply_rows,
+            wait_s=FEED_WAIT_S,
             is_wanted=lambda: self._needs_store or is_follower(),
         )
         self._first_version_s = (
@@ -122,6 +125,11 @@
         """Tell whether this host follows the feed of the store."""
         return self._follower.is_current
 
+    @property
+    def has_store(self) -> bool:
+        """Tell whether the store answers this host about the configuration."""
+        return self._follower.is_reachable
+
     @property
     def is_current(self) -> bool:
         """Tell whether no newer version can be in force for long."""
--- a/tests/platform/test_membership_calls.py
+++ b/tests/platform/test_membership_calls.py
@@ -6,7 +6,7 @@
 import testtools
 
 from asyncrun import run_async
-from dragonflyknot.daemon import sitemembers
+from dragonflyknot.daemon import sitemembers, sitepolicy
 from dragonflyknot.daemon.sitehost import SiteHost
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.followers import FOLLOWERS_PER_REGION
@@ -14,13 +14,23 @@
 from sitefleet import SiteFleet, configuration
 
 HOSTS = 8
+FEED_WAIT_S = 60.0
 SETTLED_S = 1.5
 # New hosts learn who precedes them before they follow the feeds.
 FOLLOWING_S = sitemembers.FOLLOW_AFTER_S + SETTLED_S + 0.5
 
 
 class ManyHostsTest(testtools.TestCase):
-    """A change at one host does not wake all hosts at the store."""
+    """A change at one host does not wake all hosts at the store.
+
+    Feeds wait so long here that no call is made but for a change.
+    """
+
+    def setUp(self) -> None:
+        """Let feeds wait longer than the test."""
+        super().setUp()
+        for module in (sitemembers, sitepolicy):
+            self.patch(module, 'FEED_WAIT_S', FEED_WAIT_S)
 
     def test_a_change_wakes_the_followers_only(self) -> None:
         """Reach all hosts with as many calls as there are followers."""
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -24,6 +24,8 @@
 from sitefleet import SiteFleet, configuration
 
 SEEN_DEADLINE_S = 6
+# Changes have to be seen sooner than at the end of such a wait.
+WAIT_S = 29.0
 
 
 class FeedTest(testtools.TestCase):
@@ -429,7 +431,9 @@
 
     async def follow(self, table: str) -> None:
         """Follow a table until the end; wait until its feed waits."""
-        follower = TableFollower(self.client, table, self._tell, self._tell)
+        follower = TableFollower(
+            self.client, table, self._tell, self._tell, wait_s=WAIT_S
+        )
         task = asyncio.create_task(follower.run())
         self._stack.callback(task.cancel)
         await self.until(lambda: '/rows-feed' in self.store.calls)
--- a/tests/platform/test_site_store.py
+++ b/tests/platform/test_site_store.py
@@ -80,6 +80,59 @@
         run_async(body())
 
 
+class SilentStoreTest(testtools.TestCase):
+    """The store gives some calls no response, and keeps their connections.
+
+    A call that was left without a response stays so after the store serves
+    all others again.
+    """
+
+    # Guards against daemons that take up no new configuration, and go on with
+    # withdrawn keys, as long as a call waits that was never answered.
+    def test_configuration_after_calls_that_got_no_response(self) -> None:
+        """Take up a version written after the store serves everybody."""
+
+        async def body() -> None:
+            async with SiteFleet(3) as fleet:
+                await fleet.until(lambda: _all_follow(fleet))
+                fleet.store.switches.silent = True
+                fleet.store.write('op', 'config', configuration(2))
+                await fleet.until(lambda: _all_have(fleet, 2))
+                # The followers ask for the next change, in vain.
+                await asyncio.sleep(0.2)
+                fleet.store.switches.silent = False
+                fleet.store.write('op', 'config', configuration(3, keys=()))
+                await fleet.until(lambda: _all_have(fleet, 3))
+                reply = await fleet.ask(0)
+                self.assertEqual(401, reply.status)
+
+        run_async(body())
+
+    # Guards against a host that says that the store answers it while the
+    # configuration's table does not.
+    def test_host_that_gets_no_configuration_says_so(self) -> None:
+        """Report the store as lost until it answers for all tables."""
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                members = fleet.hosts[0].members
+                await fleet.until(lambda: _all_follow(fleet))
+                fleet.store.switches.silent_table = 'op'
+                await fleet.until(lambda: not members.has_store)
+                fleet.store.switches.silent_table = ''
+                await fleet.until(lambda: members.has_store)
+
+        run_async(body())
+
+
+def _all_follow(fleet: SiteFleet) -> bool:
+    return all(one.policy.is_following for one in fleet.hosts)
+
+
+def _all_have(fleet: SiteFleet, version: int) -> bool:
+    return all(one.policy.version == version for one in fleet.hosts)
+
+
 class _Away(StoreClient):
     """Stand for a store that turns a host away."""
 
--- a/tests/rowstandin.py
+++ b/tests/rowstandin.py
@@ -34,13 +34,15 @@
 class Switches:
     """Say what fails; a status of 0 means that calls are answered.
 
-    `epoch_text` replaces the text of the epoch's header; with an empty text
-    the header is left out. Answers to calls of a path in `held` are sent once
-    their event is set.
+    Calls that arrive while `silent` is set, or that name `silent_table`, get
+    no answer, and their connections stay open. `epoch_text` replaces the text
+    of the epoch's header; with an empty text the header is left out. Answers
+    to calls of a path in `held` are sent once their event is set.
     """
 
     status: int = 0
     silent: bool = False
+    silent_table: str = ''
     lose_answers: int = 0
     delay_s: float = 0
     epoch_text: str | None = None
@@ -103,7 +105,7 @@
         url = urlsplit(request.target.decode())
         fields = {name: one[0] for name, one in parse_qs(url.query).items()}
         self.calls.append(url.path)
-        if self.switches.silent:
+        if self._is_silent_for(fields):
             await asyncio.sleep(60)
         if self.switches.delay_s:
             await asyncio.sleep(self.switches.delay_s)
@@ -127,6 +129,10 @@
             await self.switches.held[url.path].wait()
         request.respond(status, lines, json.dumps(answer).encode())
 
+    def _is_silent_for(self, fields: dict[str, str]) -> bool:
+        switches = self.switches
+        return switches.silent or switches.silent_table == fields.get('table')
+
     def _epoch_lines(self) -> tuple[bytes, ...]:
         text = self.switches.epoch_text
         if text is None:
