Acknowledge a leaving once it is stored; read it before late announcements

Cause: a process judged announcements by what it had heard itself. The row of the former process was not asked, and for some leavings there was none: those of instances without a heartbeat, and those acknowledged without the store.

Change: a leaving is acknowledged after the store holds it; the target is asked to call again otherwise. A new process reads its own row before it applies announcements, and entries carry the sequence number of their heartbeat.

Evidence: tests/platform/test_restarts.py on the code before: requests reach the upstream after a restart in all three plays of a late heartbeat, and calls are acknowledged while the store is away.

Tests: test_leave_before_any_heartbeat asked that nothing is current after the leave; it now asks for exactly that upstream, as gone, which is as strict: neither is used.

--- a/packages/daemon/src/dragonflyknot/daemon/entrywriter.py
+++ b/packages/daemon/src/dragonflyknot/daemon/entrywriter.py
@@ -36,35 +36,39 @@
         self._own_entry = own_entry
         self._on_stored = on_stored
         self._is_due = asyncio.Event()
-        self._stored: asyncio.Future[None] | None = None
+        self._is_announced = False
+        self._is_stored = asyncio.Event()
 
     @property
     def has_stored(self) -> bool:
         """Tell whether the store has acknowledged the entry."""
-        return self._stored is not None and self._stored.done()
+        return self._is_stored.is_set()
 
     @property
     def is_idle(self) -> bool:
         """Tell whether nothing is to be written."""
-        return self._stored is None or self._stored.done()
+        return not self._is_announced or self._is_stored.is_set()
 
-    def write_soon(self) -> asyncio.Future[None]:
-        """Write the entry unless it is stored; return when it is."""
-        if self._stored is None:
-            return self.write_again()
-        return self._stored
+    def write_soon(self) -> None:
+        """Write the entry unless it is stored."""
+        if not self._is_announced:
+            self.write_again()
 
-    def write_again(self) -> asyncio.Future[None]:
+    def write_again(self) -> None:
         """Write the entry, whatever was stored before."""
-        self._stored = asyncio.get_running_loop().create_future()
+        self._is_announced = True
+        self._is_stored.clear()
         self._is_due.set()
-        return self._stored
 
     def record_stored(self) -> None:
         """Record that the row of an earlier process holds the same entry."""
-        if self._stored is None:
-            self._stored = asyncio.get_running_loop().create_future()
-            self._stored.set_result(None)
+        if not self._is_announced:
+            self._is_announced = True
+            self._is_stored.set()
+
+    async def stored(self) -> None:
+        """Wait until the store has acknowledged the entry."""
+        await self._is_stored.wait()
 
     async def run(self) -> None:
         """Write what is due until cancelled."""
@@ -76,13 +80,11 @@
     async def _write_until_stored(self) -> None:
         pause_s = WRITE_PAUSE_S
         while (entry := self._own_entry()) is not None:
-            stored = self._stored
             if not await self._put(entry):
                 await asyncio.sleep(pause_s * (1 + random.random()))
                 pause_s = min(2 * pause_s, MAX_WRITE_PAUSE_S)
             elif entry == self._own_entry():
-                if stored is not None and not stored.done():
-                    stored.set_result(None)
+                self._is_stored.set()
                 self._on_stored()
                 return
 
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -44,7 +44,8 @@
 
 TRIM_S: Final = 5.0
 PEER_IDLE_S: Final = 90.0
-ACK_WITHOUT_STORE_S: Final = 0.5
+# A later acknowledgement comes too late for the upstream, which asks again.
+MAX_ACK_S: Final = 0.8
 _log = structlog.get_logger(__name__)
 
 
@@ -80,6 +81,9 @@
         self.counts = SiteEdgeCounts(RateLimitedLog())
         self.edge = SiteEdge(self._edge_ports())
         self.is_draining = False
+        self._knows_earlier = asyncio.Event()
+        if settings.is_first_start:
+            self._knows_earlier.set()
         self._callers_server: Server
         self._peers_server: Server
         self._stack = AsyncExitStack()
@@ -130,24 +134,29 @@
         """Return the number of requests in flight."""
         return self.edge.in_flight + self.gate.in_flight
 
-    async def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Take an announcement; return when it may be acknowledged."""
-        if self.register.apply_heartbeat(heartbeat):
-            _log.info(
-                'upstream_announced',
-                instance=heartbeat.instance,
-                state=heartbeat.state.value,
-                slots=heartbeat.slots,
-            )
-            await self._upstream_changed()
+    async def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Apply a heartbeat; return whether it may be acknowledged."""
+        try:
+            async with asyncio.timeout(MAX_ACK_S):
+                await self._knows_earlier.wait()
+                self._apply_heartbeat(heartbeat)
+                await self._leaving_stored()
+        except TimeoutError:
+            _log.info('heartbeat_not_stored', instance=heartbeat.instance)
+            return False
+        return True
 
-    async def handle_deregistration(self, leaving: LeaveMessage) -> None:
-        """Take a farewell; return when it may be acknowledged."""
-        if self.register.apply_leave(leaving):
-            _log.info('upstream_left', instance=leaving.instance)
-            await self._upstream_changed()
-        else:
-            _log.info('farewell_kept', instance=leaving.instance)
+    async def handle_deregistration(self, leaving: LeaveMessage) -> bool:
+        """Apply a leave message; return whether it may be acknowledged."""
+        try:
+            async with asyncio.timeout(MAX_ACK_S):
+                await self._knows_earlier.wait()
+                self._apply_leave(leaving)
+                await self._upstream_stored()
+        except TimeoutError:
+            _log.warning('leaving_not_stored', instance=leaving.instance)
+            return False
+        return True
 
     async def drain(self) -> None:
         """Stop being ready and wait until nothing is in flight."""
@@ -250,23 +259,52 @@
         self.site_retries.set_host_count(hosts)
         self.rates.set_host_count(len(self.members.entries()))
 
-    async def _upstream_changed(self) -> None:
+    def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
+        if self.register.apply_heartbeat(heartbeat):
+            _log.info(
+                'upstream_announced',
+                instance=heartbeat.instance,
+                state=heartbeat.state.value,
+                slots=heartbeat.slots,
+            )
+            self._announce_upstream()
+
+    def _apply_leave(self, leaving: LeaveMessage) -> None:
+        if self.register.apply_leave(leaving):
+            _log.info('upstream_left', instance=leaving.instance)
+            self._announce_upstream()
+        else:
+            _log.info('leaving_known', instance=leaving.instance)
+
+    def _announce_upstream(self) -> None:
         self.gate.apply_announcement()
         upstream = self.register.current
-        if upstream is None:
-            return
-        written = self.members.announce(upstream)
-        if upstream.state is UpstreamState.READY:
-            return
-        try:
-            async with asyncio.timeout(ACK_WITHOUT_STORE_S):
-                await asyncio.shield(written)
-        except TimeoutError:
-            _log.warning('leaving_not_stored', instance=upstream.instance)
+        if upstream is not None:
+            self.members.announce(upstream)
+
+    async def _leaving_stored(self) -> None:
+        """Wait until the store holds that the upstream leaves, if it does.
+
+        The next process of this host learns it from there.
+        """
+        upstream = self.register.current
+        if upstream is not None and upstream.state is not UpstreamState.READY:
+            await self._upstream_stored()
+
+    async def _upstream_stored(self) -> None:
+        """Wait until the store holds the state of the upstream."""
+        upstream = self.register.current
+        if upstream is not None:
+            self.members.announce(upstream)
+            await self.members.stored()
 
     async def _restore(self) -> None:
-        """Use the upstream again that an earlier process knew."""
+        """Learn what an earlier process knew; use its upstream again."""
         known = await self.members.restored()
+        if known is not None:
+            self.register.record_earlier(known)
+            self.gate.apply_announcement()
+        self._knows_earlier.set()
         configuration = await self.policy.first()
         if known is None or self.register.current is not None:
             return
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -43,6 +43,9 @@
 LOST_AFTER_S: Final = 15.0
 FEED_WAIT_S: Final = 5.0
 FEED_PAUSE_S: Final = 1.0
+# How long a restarted host waits for its own row, which says what an earlier
+# process has acknowledged, before it goes by what peers know.
+OWN_ROW_S: Final = 3.0
 # New hosts learn who precedes them before they follow.
 FOLLOW_AFTER_S: Final = 2.5
 ISOLATED_AFTER_S: Final = 5.0
@@ -84,6 +87,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._versions_by_host: dict[str, StoreVersion] = {}
         self._has_read = asyncio.Event()
+        self._has_read_table = asyncio.Event()
         self._is_settled = False
         self._writer = EntryWriter(
             platform.store,
@@ -168,8 +172,8 @@
             if not entry.is_gone
         ]
 
-    def announce(self, upstream: Upstream) -> asyncio.Future[None]:
-        """Announce the own upstream; the future is done once it is stored."""
+    def announce(self, upstream: Upstream) -> None:
+        """Announce the own upstream to peers and in the store."""
         settings = self._settings
         entry = SiteEntry(
             Place(
@@ -183,22 +187,40 @@
             ),
             upstream.instance,
             upstream.born,
+            sequence=upstream.sequence,
         )
         if not self.view.adopt_own(entry):
             self._news([self.view.publish(entry, _unix_ms())])
-            return self._writer.write_again()
+            self._writer.write_again()
+            return
         if self._is_own_row_stored():
             self._writer.record_stored()
-        return self._writer.write_soon()
+        self._writer.write_soon()
+
+    async def stored(self) -> None:
+        """Wait until the store holds what was announced last."""
+        await self._writer.stored()
 
     async def restored(self) -> Upstream | None:
-        """Return the upstream that an earlier process of this host knew."""
-        await self._has_read.wait()
+        """Return the upstream that an earlier process of this host knew.
+
+        What that process acknowledged is in the store, and peers may not know
+        it yet, so they are asked only if the store does not answer.
+        """
+        try:
+            async with asyncio.timeout(OWN_ROW_S):
+                await self._has_read_table.wait()
+        except TimeoutError:
+            await self._has_read.wait()
         own = self.view.own
         if own is None or self.view.has_published:
             return None
         return Upstream(
-            own.instance, own.born, own.place.state, own.place.slots
+            own.instance,
+            own.born,
+            own.place.state,
+            own.place.slots,
+            own.sequence,
         )
 
     def answer_stopping(self, content: bytes) -> bytes:
@@ -234,7 +256,8 @@
         if not self._is_settled:
             self._is_settled = True
             self._has_read.set()
-            self._follower.cancel_read()
+            if self._settings.is_first_start:
+                self._follower.cancel_read()
             self._notify_listeners()
 
     async def run(self) -> None:
@@ -261,6 +284,7 @@
                 self._versions_by_host.pop(host)
         self._changed(snapshot)
         self._keep_own_row(snapshot)
+        self._has_read_table.set()
         self.settle()
         self._has_read.set()
 
--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -41,13 +41,15 @@
 class SiteEntry:
     """Hold the entry that a host publishes about itself.
 
-    `born` is the start of the upstream instance in Unix milliseconds.
+    `born` is the start of the upstream instance in Unix milliseconds, and
+    `sequence` the number of the heartbeat that announced the state, or -1.
     """
 
     place: Place
     instance: str = ''
     born: int = 0
     stamp: int = 0
+    sequence: int = -1
 
     @property
     def is_gone(self) -> bool:
@@ -136,10 +138,13 @@
     def adopt_own(self, entry: SiteEntry) -> bool:
         """Go on with an earlier process's entry if it says the same.
 
-        Return whether it does; otherwise an entry has to be published.
+        Return whether it does; otherwise an entry has to be published. A later
+        heartbeat that says the same needs no new entry.
         """
         own = self.own
-        if own is None or replace(entry, stamp=own.stamp) != own:
+        if own is None:
+            return False
+        if replace(entry, stamp=own.stamp, sequence=own.sequence) != own:
             return False
         self.has_published = True
         return True
--- a/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
+++ b/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
@@ -5,6 +5,9 @@
 start, the higher sequence number wins. After an upstream has left, no
 announcement of the same start revives it, even if the leave message was the
 first announcement that the daemon received.
+
+What an earlier process of the host knew counts like an announcement received
+before all others, since late ones may also arrive after a restart.
 """
 
 from dataclasses import dataclass
@@ -40,7 +43,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Upstream:
-    """Hold the current state of the upstream of this host."""
+    """Hold the state of the upstream of this host.
+
+    `sequence` is that of the heartbeat that announced it, or -1.
+    """
 
     instance: str
     born: int
@@ -50,19 +56,37 @@
 
 
 class UpstreamRegister:
-    """Track the announcements of the one upstream of a host."""
+    """Track the announcements of the one upstream of a host.
+
+    `current` is the upstream in force, None if none has announced itself to
+    this process.
+    """
 
     def __init__(self, service: str, address: str) -> None:
         """Start without an upstream; accept only this service and address."""
         self._service = service
         self._address = address
         self._departed_born_by_instance: dict[str, int] = {}
+        self._newest: Upstream | None = None
         self.current: Upstream | None = None
 
     def serves(self, service: str) -> bool:
         """Tell whether the upstream serves a service."""
         return service == self._service
 
+    def record_earlier(self, upstream: Upstream) -> None:
+        """Record the state that an earlier process of this host knew.
+
+        Only newer announcements are applied from now on. A leaving upstream is
+        in force at once, a ready one after it has announced itself or was
+        restored.
+        """
+        if self._newest is not None:
+            return
+        self._newest = upstream
+        if upstream.state is not UpstreamState.READY:
+            self.current = upstream
+
     def restore(self, upstream: Upstream) -> bool:
         """Restore a stored state unless an announcement came first.
 
@@ -70,7 +94,7 @@
         """
         if self.current is not None or self._has_left(upstream):
             return False
-        self.current = upstream
+        self._set_current(upstream)
         return True
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> bool:
@@ -79,8 +103,8 @@
             return False
         if heartbeat.address and heartbeat.address != self._address:
             return False
-        known = self.current
-        if known is not None and not _is_newer(heartbeat, known):
+        newest = self._newest
+        if newest is not None and not _is_newer(heartbeat, newest):
             return False
         if self._has_left(heartbeat):
             return False
@@ -91,24 +115,31 @@
             heartbeat.slots,
             heartbeat.sequence,
         )
-        self.current = changed
-        return known is None or _differs(known, changed)
+        before = self.current
+        self._set_current(changed)
+        return before is None or _differs(before, changed)
 
     def apply_leave(self, leaving: LeaveMessage) -> bool:
         """Apply a leave message; return whether the state changed."""
-        known = self.current
-        if known is None or known.instance != leaving.instance:
+        newest = self._newest
+        if newest is None or leaving.born > newest.born:
+            # No heartbeat of this start has arrived yet; one may arrive late.
+            self._set_current(_gone(leaving.instance, leaving.born, 0))
+            return True
+        if newest.instance != leaving.instance:
             self._record_departure(leaving)
             return False
-        if 0 < leaving.born < known.born:
+        if 0 < leaving.born < newest.born:
             return False
-        if known.state is UpstreamState.GONE:
+        if newest.state is UpstreamState.GONE:
             return False
-        self.current = Upstream(
-            known.instance, known.born, UpstreamState.GONE, known.slots
-        )
+        self._set_current(_gone(newest.instance, newest.born, newest.slots))
         return True
 
+    def _set_current(self, upstream: Upstream) -> None:
+        self._newest = upstream
+        self.current = upstream
+
     def _record_departure(self, leaving: LeaveMessage) -> None:
         if len(self._departed_born_by_instance) >= MAX_DEPARTURES:
             oldest = next(iter(self._departed_born_by_instance))
@@ -120,6 +151,10 @@
         return departed_born is not None and announced.born <= departed_born
 
 
+def _gone(instance: str, born: int, slots: int) -> Upstream:
+    return Upstream(instance, born, UpstreamState.GONE, slots)
+
+
 def _is_newer(heartbeat: Heartbeat, known: Upstream) -> bool:
     if heartbeat.born != known.born:
         return heartbeat.born > known.born
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -18,7 +18,7 @@
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import MAX_SLOTS, Place
 from dragonflyknot.decisions.siteview import MAX_STAMP, SiteEntry, Stamps
-from dragonflyknot.decisions.upstreamstate import MAX_BORN_MS
+from dragonflyknot.decisions.upstreamstate import MAX_BORN_MS, MAX_SEQUENCE
 from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
 from dragonflyknot.exchange.telemetry import FaultLog
 
@@ -160,6 +160,7 @@
         'instance': entry.instance,
         'born': entry.born,
         'stamp': entry.stamp,
+        'sequence': entry.sequence,
     }
 
 
@@ -178,6 +179,7 @@
         fields.name('instance'),
         fields.integer('born', minimum=0, maximum=MAX_BORN_MS),
         _decode_stamp(fields, 'stamp'),
+        fields.integer('sequence', -1, minimum=-1, maximum=MAX_SEQUENCE),
     )
 
 
