Bound what a link parses ahead of judging it

Cause: a whole read of up to 256 KB was parsed before its first message was judged; an answer of 40 bytes becomes an object of 3 KB. On the other side, requests that a client sends ahead were collected without bound.

Change: bytes are parsed in parts of 4 KB; a link breaks when more than 16 answers wait, and a connection of a client ends after 64 waiting requests, which are answered.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -20,6 +20,8 @@
 SWITCHING_PROTOCOLS_STATUS: Final = 101
 # More interim responses to one request break the link.
 MAX_INTERIM_RESPONSES: Final = 16
+# Responses that wait to be read; more of them break the link.
+MAX_QUEUED_RESPONSES: Final = 16
 # A link that carried so many requests that were not served is closed.
 MAX_UNSERVED_IDS: Final = 64
 
@@ -127,16 +129,10 @@
         if not self.is_busy:
             self._fail(None)
             return
-        try:
-            messages, _is_upgraded, _tail = self._reader.feed_data(data)
-        except HttpProcessingError as error:
-            self._fail(error)
-            return
-        if not messages:
-            self._limit_head(len(data))
-        if messages:
-            self._accept(messages, data)
-        self._has_received = True
+        for part in links.split_received(data):
+            self._parse(part)
+            if self._is_broken:
+                return
 
     @property
     def has_partial_response(self) -> bool:
@@ -215,6 +211,18 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _parse(self, data: bytes) -> None:
+        try:
+            messages, _is_upgraded, _tail = self._reader.feed_data(data)
+        except HttpProcessingError as error:
+            self._fail(error)
+            return
+        if messages:
+            self._accept(messages, data)
+        else:
+            self._limit_head(len(data))
+        self._has_received = True
+
     def _accept(self, messages: Any, data: bytes) -> None:
         """Queue the responses whose heads ended in the received bytes."""
         is_one_head = not self._has_received and (
@@ -240,6 +248,8 @@
                 )
             )
         self._wake_waiter()
+        if len(self._responses) > MAX_QUEUED_RESPONSES:
+            self._fail(None)
 
     def _skip_interim(self, status: int) -> None:
         """Ignore an interim response (RFC 9110, section 15.2).
--- a/packages/exchange/src/dragonflyknot/exchange/links.py
+++ b/packages/exchange/src/dragonflyknot/exchange/links.py
@@ -7,7 +7,7 @@
 
 import re
 import socket
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Iterable, Iterator
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Final, cast
@@ -31,6 +31,8 @@
 MAX_HEADERS: Final = 256
 MAX_RESPONSE_HEAD_BYTES: Final = 256 * 1024
 """Beyond this, bytes without a complete response head break the link."""
+PARSED_BYTES: Final = 4096
+"""The most received bytes that are parsed in one step."""
 MAX_BUFFERED_BODY_BYTES: Final = 512 * 1024
 """The largest body that a daemon buffers."""
 
@@ -118,6 +120,17 @@
     return any(_STATUS_LINE.search(text) is not None for text in texts)
 
 
+def split_received(data: bytes) -> Iterator[bytes]:
+    """Yield received bytes in parts to parse one after the other.
+
+    A parsed message takes much more memory than its bytes. Whoever has enough
+    messages leaves the rest unparsed. No bytes are a part too: they let a
+    parser go on that was paused.
+    """
+    for start in range(0, max(1, len(data)), PARSED_BYTES):
+        yield data[start : start + PARSED_BYTES]
+
+
 def encode_chunk(content: bytes) -> bytes:
     """Return the content as one chunk of the chunked transfer coding."""
     return b'%x\r\n%b\r\n' % (len(content), content)
--- a/packages/exchange/src/dragonflyknot/exchange/serverlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverlink.py
@@ -26,6 +26,9 @@
 
 BACKLOG: Final = 1024
 SWEEP_INTERVAL_S: Final = 1.0
+# Requests of a connection that wait for their turn; after more of them, those
+# are answered and the connection is closed.
+MAX_PIPELINED_REQUESTS: Final = 64
 MAX_DISCARDED_BYTES: Final = 4 * 1024 * 1024
 WRITE_TIMEOUT_S: Final = 20.0
 _REASON_PHRASES: Final = MappingProxyType(
@@ -264,9 +267,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and start to serve complete heads."""
-        if self._is_unusable:
-            return
         self._last_active_at = time.monotonic()
+        for part in links.split_received(data):
+            if self._is_unusable:
+                return
+            self._parse(part)
+
+    def _parse(self, data: bytes) -> None:
         try:
             messages, is_upgraded, _tail = self._reader.feed_data(data)
         except HttpProcessingError as error:
@@ -279,9 +286,22 @@
             self._is_reading_head = True
         if is_upgraded:
             self._is_unusable = True
+        if len(self._requests) > MAX_PIPELINED_REQUESTS:
+            self._stop_after_last()
         if self._task is None and self._requests:
             self._task = self._loop.create_task(self._run())
 
+    def _stop_after_last(self) -> None:
+        """Read no more requests; close the connection after those that wait.
+
+        Their bodies are whole, as a request that has been dropped followed.
+        """
+        while len(self._requests) > MAX_PIPELINED_REQUESTS:
+            self._requests.pop()
+        self._requests[-1].is_keep_alive = False
+        self._is_unusable = True
+        _log.info('pipeline_too_long')
+
     @property
     def is_busy(self) -> bool:
         """Return whether a request is in progress or an answer unwritten."""
--- /dev/null
+++ b/tests/unit/test_endless_messages.py
@@ -0,0 +1,109 @@
+"""Test links whose peer sends messages without end.
+
+What a link parses ahead takes many times the memory of the bytes received.
+"""
+
+import asyncio
+from unittest import mock
+
+import testtools
+
+from asyncrun import run_async
+from dragonflyknot.exchange import clientlink, links, serverlink
+from dragonflyknot.exchange.clientlink import ClientLink
+from dragonflyknot.exchange.serverlink import Request, serving
+
+RECEIVED_BYTES = 256 * 1024
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+ANSWERS = ANSWER * (RECEIVED_BYTES // len(ANSWER))
+REQUEST = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
+REQUESTS = RECEIVED_BYTES // len(REQUEST)
+
+
+class ClientLinkTest(testtools.TestCase):
+    """A server sends complete answers back to back."""
+
+    # Guards against a process that runs out of memory, as all answers in the
+    # received bytes are parsed before the first one is judged.
+    def test_answers_behind_the_first_are_dropped(self) -> None:
+        """Return the first answer; hold few others, and no link for reuse."""
+
+        async def body() -> None:
+            link = _open_link()
+            link.data_received(ANSWERS)
+            in_one_part = links.PARSED_BYTES // len(ANSWER)
+            most = clientlink.MAX_QUEUED_RESPONSES + in_one_part
+            self.assertLessEqual(len(link._responses), most)
+            answer = await link.receive()
+            self.assertEqual(200, answer.status)
+            self.assertEqual(b'ok', await clientlink.read_body(answer))
+            self.assertFalse(link.is_reusable)
+
+        run_async(body())
+
+    def test_long_body_is_whole(self) -> None:
+        """Keep all bytes of a body that arrives in one piece."""
+
+        async def body() -> None:
+            link = _open_link()
+            content = bytes(range(256)) * 1000
+            head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+            link.data_received(head % len(content) + content)
+            answer = await link.receive()
+            self.assertEqual(content, await clientlink.read_body(answer))
+            self.assertTrue(link.is_reusable)
+
+        run_async(body())
+
+
+class ServerLinkTest(testtools.TestCase):
+    """A client sends requests without waiting for answers."""
+
+    # Guards against requests of one connection that are collected without
+    # bound while the first one is served.
+    def test_connection_ends_after_a_bounded_number(self) -> None:
+        """Serve the first requests, announce the end and close."""
+
+        async def body() -> None:
+            served: list[Request] = []
+
+            async def serve(request: Request) -> None:
+                served.append(request)
+                await asyncio.sleep(0)
+                request.respond(200, (), b'ok')
+
+            async with serving('127.0.0.1', 0, serve) as server:
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1', server.port
+                )
+                writer.write(REQUEST * REQUESTS)
+                answers = await _read_to_the_end(reader)
+                writer.close()
+            most = serverlink.MAX_PIPELINED_REQUESTS
+            self.assertLessEqual(len(served), REQUESTS // 10)
+            self.assertGreaterEqual(len(served), most)
+            self.assertEqual(len(served), answers.count(b'HTTP/1.1 200'))
+            self.assertEqual(1, answers.count(b'Connection: close'))
+
+        run_async(body())
+
+
+def _open_link() -> ClientLink:
+    """Return a link that waits for an answer, on no connection."""
+    link = ClientLink(1000)
+    transport = mock.Mock()
+    transport.is_closing.return_value = False
+    link.transport = transport
+    link.send(b'', is_head=False)
+    return link
+
+
+async def _read_to_the_end(reader: asyncio.StreamReader) -> bytes:
+    """Return what arrives until the connection is closed or reset."""
+    received = bytearray()
+    try:
+        while part := await reader.read(65536):
+            received += part
+    except ConnectionError:
+        return bytes(received)
+    return bytes(received)
