Bound the bytes of bodies that a process holds for all requests

Each body was bounded at about 1 MB, their sum was not.

Cause: buffers, read-ahead and unread answers were bounded by connection only.

Change: each request counts what it holds until its answer is written and mostly read.

--- a/packages/callers/src/dragonflyknot/callers/requestrunner.py
+++ b/packages/callers/src/dragonflyknot/callers/requestrunner.py
@@ -55,6 +55,8 @@
             forwarded.outgoing.body = await forwarded.request.body()
         except links.BodyBroken:
             return Refusal.MALFORMED
+        except links.NoRoomForBody:
+            return Refusal.SHED
         self._ports.site_retries.count_request(
             forwarded.service, time.monotonic(), is_retry=forwarded.is_retry
         )
--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -146,6 +146,8 @@
         request_id_text = request_id.decode('latin-1')
         if self._is_closed:
             return self._draining_refusal(request_id_text)
+        if not request.has_room:
+            return PlatformRefusal(Refusal.SHED, request_id_text, RETRY_AFTER_S)
         if configuration is None:
             return PlatformRefusal(
                 Refusal.NOT_READY, request_id_text, RETRY_AFTER_S
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -31,6 +31,7 @@
     LeaveMessage,
     UpstreamRegister,
 )
+from dragonflyknot.exchange.bodymemory import BodyMemory
 from dragonflyknot.exchange.serverlink import (
     Handler,
     Limits,
@@ -67,6 +68,7 @@
         )
         self.site_retries = SiteRetryBudget(settings.retry_bound)
         self.links = PeerLinks()
+        self.memory = BodyMemory(settings.max_body_memory_bytes)
         self.policy = SitePolicy(
             platform,
             self.links,
@@ -209,8 +211,8 @@
             lambda: self.policy.version,
             self.policy.record_peer_version,
         )
-        self._caller_limits = Limits()
-        peers = Limits(head_bytes=65536, idle_s=PEER_IDLE_S)
+        self._caller_limits = Limits(memory=self.memory)
+        peers = Limits(head_bytes=65536, idle_s=PEER_IDLE_S, memory=self.memory)
         self._peers_server = await _open(
             stack, settings.peers_listen, receiver.serve, peers
         )
--- a/packages/exchange/src/dragonflyknot/exchange/links.py
+++ b/packages/exchange/src/dragonflyknot/exchange/links.py
@@ -15,6 +15,8 @@
 from aiohttp import http_parser
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
+from dragonflyknot.exchange import bodymemory
+
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 """Header lines as received: pairs of name and value."""
 
@@ -68,6 +70,14 @@
 )
 
 
+class NoRoomForBody(Exception):
+    """Signal that the process holds too many bytes to take a body."""
+
+    def __init__(self) -> None:
+        """Set the message."""
+        super().__init__('Too many bodies are in memory; try again later.')
+
+
 class BodyBroken(Exception):
     """Signal that a body ended early."""
 
@@ -139,8 +149,8 @@
 async def buffer_body(reader: StreamReader) -> Body:
     """Return a small body as bytes and a larger one as a stream.
 
-    The limit is `MAX_BUFFERED_BODY_BYTES`. Raise BodyBroken if the body ends
-    early.
+    The limit is `MAX_BUFFERED_BODY_BYTES`, and less if the process holds much.
+    Raise BodyBroken if the body ends early.
     """
     if reader is EMPTY_PAYLOAD:
         return b''
@@ -151,7 +161,9 @@
             part = await reader.readany()
             parts.append(part)
             size += len(part)
-            if size > MAX_BUFFERED_BODY_BYTES:
+            has_room = bodymemory.hold(len(part)) or reader.at_eof()
+            if size > MAX_BUFFERED_BODY_BYTES or not has_room:
+                bodymemory.hold(bodymemory.READ_AHEAD_BYTES)
                 return StreamedBody(b''.join(parts), reader)
     except Exception as error:
         raise BodyBroken from error
--- a/packages/exchange/src/dragonflyknot/exchange/serverlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverlink.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any, Final, cast
@@ -21,7 +21,8 @@
 from aiohttp.http_writer import HttpVersion10
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
-from dragonflyknot.exchange import links
+from dragonflyknot.exchange import bodymemory, links
+from dragonflyknot.exchange.bodymemory import BodyMemory
 from dragonflyknot.exchange.outcomes import Answered
 
 BACKLOG: Final = 1024
@@ -46,12 +47,13 @@
 
     `head_bytes` bounds a header line or field, in bytes. `head_s` is the
     timeout for receiving a request head and `idle_s` that of an idle
-    connection, in seconds.
+    connection, in seconds. `memory` counts what the requests hold.
     """
 
     head_bytes: int = 16384
     head_s: float = 5.0
     idle_s: float = 75.0
+    memory: BodyMemory = field(default_factory=BodyMemory)
 
 
 @dataclass(slots=True)
@@ -81,12 +83,25 @@
         """
         return self.link.serving_task
 
+    @property
+    def has_room(self) -> bool:
+        """Tell whether the process may hold more bytes of bodies."""
+        return not self.link.server.limits.memory.is_full
+
     async def body(self) -> links.Body:
-        """Return the body. Raise BodyBroken if it ends early."""
+        """Return the body.
+
+        Raise BodyBroken if it ends early, and NoRoomForBody if it would be
+        streamed while the process holds too much.
+        """
         if self.reader is EMPTY_PAYLOAD:
             return b''
         self.link.send_continue(self)
-        return await links.buffer_body(self.reader)
+        body = await links.buffer_body(self.reader)
+        if isinstance(body, links.StreamedBody) and not self.has_room:
+            bodymemory.release()
+            raise links.NoRoomForBody
+        return body
 
     def respond(
         self, status: int, lines: Iterable[bytes], body: bytes = b''
@@ -250,6 +265,7 @@
         self._task: asyncio.Task[None] | None = None
         self._is_unusable = False
         self._last_active_at = time.monotonic()
+        self._unwritten_bytes = 0
         self._is_reading_head = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -351,6 +367,7 @@
 
         A request in progress is aborted only if its client stopped reading.
         """
+        self._record_progress(now)
         inactive_s = now - self._last_active_at
         limits = self.server.limits
         if self._task is not None:
@@ -361,6 +378,16 @@
         if inactive_s > limit_s:
             self.close_if_idle()
 
+    def _record_progress(self, now: float) -> None:
+        """Record as activity that the client has read since the last call."""
+        transport = self.transport
+        if transport is None or not self._paused:
+            return
+        unwritten_bytes = transport.get_write_buffer_size()
+        if unwritten_bytes < self._unwritten_bytes:
+            self._last_active_at = now
+        self._unwritten_bytes = unwritten_bytes
+
     def _request(self, message: Any, payload: StreamReader) -> Request:
         target: str = message.path
         return Request(
@@ -378,7 +405,8 @@
     async def _run(self) -> None:
         try:
             while self._requests:
-                await self._serve(self._requests.popleft())
+                with self.server.limits.memory.counting():
+                    await self._serve(self._requests.popleft())
         finally:
             self._task = None
 
@@ -394,6 +422,10 @@
             return
         if request.reader is not EMPTY_PAYLOAD:
             await self._discard(request)
+        if self._paused:
+            # An answer counts as held until the client has read most of it.
+            with suppress(ConnectionError):
+                await self.drain()
         if not request.is_keep_alive and self.transport is not None:
             # Requests behind the last answer of a connection must not run.
             self._requests.clear()
--- a/packages/peers/src/dragonflyknot/peers/sitelinks.py
+++ b/packages/peers/src/dragonflyknot/peers/sitelinks.py
@@ -39,6 +39,7 @@
 CONNECT_TIMEOUT_S: Final = 0.3
 REQUESTS: Final = 'requests'
 BAD_GATEWAY: Final = 502
+SERVICE_UNAVAILABLE: Final = 503
 BAD_REQUEST: Final = 400
 _JSON_HEADER: Final = b'Content-Type: application/json\r\n'
 _faults = FaultLog()
@@ -252,7 +253,11 @@
                 request.respond(BAD_REQUEST, (), fault.encode())
 
     async def _serve_control(self, request: Request) -> None:
-        body = await request.body()
+        try:
+            body = await request.body()
+        except links.NoRoomForBody:
+            request.respond(SERVICE_UNAVAILABLE, ())
+            return
         content = body if isinstance(body, bytes) else b''
         response = await self._control(
             request.target.decode('latin-1'), content
@@ -266,8 +271,14 @@
         self, request: Request, hop: hopheaders.Hop
     ) -> None:
         self._on_version(hop.version)
+        if not request.has_room:
+            await self._answer(request, NotRun(Refusal.SHED))
+            return
         try:
             body = await request.body()
+        except links.NoRoomForBody:
+            await self._answer(request, NotRun(Refusal.SHED))
+            return
         except links.BodyBroken:
             request.link.abort()
             request.is_answered = True
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -4,7 +4,7 @@
 import itertools
 import json
 from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from adapter.configuration import decode_configuration
@@ -14,6 +14,7 @@
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.upstreamstate import Heartbeat
+from dragonflyknot.exchange.bodymemory import DEFAULT_LIMIT_BYTES
 from dragonflyknot.stores.rowstore import RowName
 from fakeupstream import FakeUpstream
 from harness.addresses import free_port
@@ -74,8 +75,11 @@
 class SiteFleet:
     """Run daemons of one service, each with its upstream."""
 
-    def __init__(self, size: int) -> None:
+    def __init__(
+        self, size: int, *, max_body_memory_bytes: int = DEFAULT_LIMIT_BYTES
+    ) -> None:
         """Prepare a site of so many hosts."""
+        self.max_body_memory_bytes = max_body_memory_bytes
         self.store = RowStandIn()
         self.upstreams = [FakeUpstream(f'i-{n}') for n in range(size)]
         self.settings: list[SiteSettings] = []
@@ -93,7 +97,11 @@
         for number, upstream in enumerate(self.upstreams):
             port = free_port()
             await self.stack.enter_async_context(upstream.listening(port))
-            self.settings.append(_settings(number, port))
+            settings = replace(
+                _settings(number, port),
+                max_body_memory_bytes=self.max_body_memory_bytes,
+            )
+            self.settings.append(settings)
             await self.start(number)
         await self.until(self.all_know)
         return self
