--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -141,17 +141,11 @@
         )
 
     def _admit(self, request: Request) -> ForwardedRequest | PlatformRefusal:
-        configuration = self._ports.site.configuration
         request_id = request.head.get(self._request_id_header) or b''
         request_id_text = request_id.decode('latin-1')
-        if self._is_closed:
-            return self._draining_refusal(request_id_text)
-        if not request.has_room:
-            return PlatformRefusal(Refusal.SHED, request_id_text, RETRY_AFTER_S)
-        if configuration is None:
-            return PlatformRefusal(
-                Refusal.NOT_READY, request_id_text, RETRY_AFTER_S
-            )
+        configuration = self._ports.site.configuration
+        if configuration is None or not self._may_serve(request):
+            return self._refusal_at_once(request_id_text)
         host = _host(request.head.get(b'host') or b'')
         route = self._ports.site.routes.find(host, _path(request.target))
         if route is None:
@@ -205,6 +199,17 @@
             ),
         )
 
+    def _may_serve(self, request: Request) -> bool:
+        return request.has_room and not self._is_closed
+
+    def _refusal_at_once(self, request_id: str) -> PlatformRefusal:
+        """Return why this host serves no request at all at present."""
+        if self._is_closed:
+            return self._draining_refusal(request_id)
+        is_configured = self._ports.site.configuration is not None
+        refusal = Refusal.SHED if is_configured else Refusal.NOT_READY
+        return PlatformRefusal(refusal, request_id, RETRY_AFTER_S)
+
     def _owner_of(
         self,
         request: Request,
