Answer with 502 when a peer is lost while a long body is sent to it

Cause: waiting for room to write raised ConnectionError, which nobody turned into an outcome, and an unexpected error aborted the caller's connection.

Change: a link raises LinkLost there, and the caller gets 502; so does the caller of a request that fails with an unexpected error.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -168,15 +168,26 @@
     async def send_body(
         self, body: links.StreamedBody, *, is_chunked: bool
     ) -> None:
-        """Send a streamed body with backpressure while it arrives."""
-        async for part in links.iter_parts(body):
-            if self.transport is not None:
-                self.transport.write(
+        """Send a streamed body with backpressure while it arrives.
+
+        Raise LinkLost if the link fails, unless the response has arrived.
+        """
+        try:
+            async for part in links.iter_parts(body):
+                await self._send_part(
                     links.encode_chunk(part) if is_chunked else part
                 )
-                await self._drain_helper()
-        if is_chunked and self.transport is not None:
-            self.transport.write(links.LAST_CHUNK)
+            if is_chunked:
+                await self._send_part(links.LAST_CHUNK)
+        except ConnectionError as error:
+            if not self._responses:
+                raise LinkLost(was_sent=True) from error
+
+    async def _send_part(self, part: bytes) -> None:
+        """Send a part of a body and wait for room. Raise ConnectionError."""
+        if self.transport is not None:
+            self.transport.write(part)
+            await self._drain_helper()
 
     async def receive(self) -> Response:
         """Wait for the next response. Raise LinkLost if the link fails."""
--- a/packages/exchange/src/dragonflyknot/exchange/serverlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverlink.py
@@ -31,6 +31,7 @@
 # are answered and the connection is closed.
 MAX_PIPELINED_REQUESTS: Final = 64
 MAX_DISCARDED_BYTES: Final = 4 * 1024 * 1024
+BAD_GATEWAY: Final = 502
 WRITE_TIMEOUT_S: Final = 20.0
 _REASON_PHRASES: Final = MappingProxyType(
     {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -415,8 +416,7 @@
             await self.server.handler(request)
         except Exception:
             _log.exception('request_failed', target=str(request.target))
-            self.abort()
-            return
+            self._answer_failed(request)
         if not request.is_answered:
             self.abort()
             return
@@ -431,6 +431,14 @@
             self._requests.clear()
             self.transport.close()
 
+    def _answer_failed(self, request: Request) -> None:
+        """Answer that it is unknown whether a request ran, and close."""
+        if request.is_answered:
+            self.abort()
+            return
+        request.is_keep_alive = False
+        request.respond(BAD_GATEWAY, ())
+
     async def _discard(self, request: Request) -> None:
         """Read the rest of the request body, up to a limit.
 
--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from typing import Final
 
 from dragonflyknot.decisions.calls import UpstreamState
@@ -315,7 +316,7 @@
         outgoing: OutgoingRequest,
         body: links.StreamedBody,
     ) -> Outcome:
-        sending = asyncio.ensure_future(link.send_body(body, is_chunked=True))
+        sending = asyncio.ensure_future(_send_body(link, body))
         try:
             answer = await self._answers.receive(link, outgoing)
             if not sending.done():
@@ -349,6 +350,12 @@
         return b''.join(parts)
 
 
+async def _send_body(link: ClientLink, body: links.StreamedBody) -> None:
+    """Send a body; who waits for the answer learns that the link is lost."""
+    with suppress(LinkLost):
+        await link.send_body(body, is_chunked=True)
+
+
 def _usable_slots(slots: int) -> int:
     """Return the slots to fill; upstreams slow down when nearly full."""
     return slots if slots < MIN_RESERVING_SLOTS else int(slots * USABLE_SHARE)
--- a/tests/fakeupstream.py
+++ b/tests/fakeupstream.py
@@ -5,6 +5,8 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+STALL_S = 60
+
 
 @dataclass(frozen=True)
 class Seen:
@@ -20,12 +22,16 @@
 
 @dataclass
 class FakeUpstream:
-    """Serve requests with a script; the default answers whole."""
+    """Serve requests with a script; the default answers whole.
+
+    Connections that open while `is_stalled` is set are not read.
+    """
 
     instance: str = 'i-1'
     seen: list[Seen] = field(default_factory=list)
     script: Script | None = None
     dropped: int = 0
+    is_stalled: bool = False
     connections: int = 0
 
     async def serve(
@@ -34,6 +40,8 @@
         """Serve one connection."""
         self.connections += 1
         try:
+            if self.is_stalled:
+                await asyncio.sleep(STALL_S)
             while (seen := await _read(reader)) is not None:
                 self.seen.append(seen)
                 await (self.script or answer)(seen, writer)
