--- a/tests/platform/test_lean_process.py
+++ b/tests/platform/test_lean_process.py
@@ -16,6 +16,14 @@
 import adapter.main
 print(' '.join(sorted(sys.modules)))
 """
+HANG_UP_WHILE_STARTING = """
+import os, runpy, signal, sys, types
+sys.path.insert(0, sys.argv[1])
+main = types.ModuleType('adapter.main')
+main.main = lambda: os.kill(os.getpid(), signal.SIGHUP)
+sys.modules['adapter.main'] = main
+runpy.run_path(sys.argv[1] + '/host.py', run_name='__main__')
+"""
 UNUSED_MODULES = (
     'aiobotocore',
     'aiohttp.client',
@@ -43,6 +51,21 @@
         self.assertIn('aiohttp.http_parser', loaded)
         self.assertEqual(set(), loaded.intersection(UNUSED_MODULES))
 
+    # Guards against a process that ends as its settings change while it starts.
+    def test_signal_before_the_handlers_are_set(self) -> None:
+        """Go on after SIGHUP; the settings are read afterwards anyway."""
+        completed = subprocess.run(
+            [
+                sys.executable,
+                '-c',
+                HANG_UP_WHILE_STARTING,
+                str(PLATFORM_FOLDER),
+            ],
+            check=False,
+            env=os.environ | {'PYTHONPATH': os.pathsep.join(sys.path)},
+        )
+        self.assertEqual(0, completed.returncode)
+
     def test_missing_package(self) -> None:
         """Name the remedy if a package is not installed."""
         completed = subprocess.run(
