Write a host's row on the condition that it is as the host knows it

What could happen: an upstream that leaves is in use again after a restart, as its row in the store says ready. The store may perform a write that got no response seconds later, after the write that was acknowledged.

Cause: the row was written whatever it held.

Change: a write names the version that it replaces, 0 where the row must not exist. Where the store has another one, the row is read: it may hold what is to be written, after a lost response; otherwise it is replaced.

Evidence: test_late_write_of_an_earlier_state on the code before: requests reach the leaving upstream after a restart.

--- a/packages/daemon/src/dragonflyknot/daemon/entrywriter.py
+++ b/packages/daemon/src/dragonflyknot/daemon/entrywriter.py
@@ -1,4 +1,9 @@
-"""Write the host's own row to the table of hosts, until it is stored."""
+"""Write the host's own row to the table of hosts, until it is stored.
+
+A row is written on the condition that it is as this host knows it: the store
+may perform a write that got no response seconds later, and must not replace a
+newer row by it.
+"""
 
 import asyncio
 import random
@@ -9,7 +14,12 @@
 
 from dragonflyknot.decisions.siteview import SiteEntry
 from dragonflyknot.peers import sitewire
-from dragonflyknot.stores.rowstore import RowName, RowStore, StoreOut
+from dragonflyknot.stores.rowstore import (
+    RowName,
+    RowStore,
+    StoreOut,
+    StoreVersion,
+)
 
 WRITE_PAUSE_S: Final = 0.3
 MAX_WRITE_PAUSE_S: Final = 1.5
@@ -37,6 +47,7 @@
         self._on_stored = on_stored
         self._is_due = asyncio.Event()
         self._is_announced = False
+        self._version: StoreVersion | None = None
         self._is_stored = asyncio.Event()
 
     @property
@@ -49,6 +60,10 @@
         """Tell whether nothing is to be written."""
         return not self._is_announced or self._is_stored.is_set()
 
+    def record_version(self, version: StoreVersion) -> None:
+        """Record the version that the row has in the store."""
+        self._version = version
+
     def write_soon(self) -> None:
         """Write the entry unless it is stored."""
         if not self._is_announced:
@@ -89,10 +104,26 @@
                 return
 
     async def _put(self, entry: SiteEntry) -> bool:
-        """Write an entry; return whether the store has acknowledged it."""
+        """Write an entry; return whether the store has it."""
+        content = sitewire.encode_entry(entry)
         try:
-            await self._store.put(self._name, sitewire.encode_entry(entry))
+            if await self._replace(content) or await self._holds(content):
+                return True
+            return await self._replace(content)
         except StoreOut as out:
             _log.info('entry_not_written', reason=out.reason)
             return False
+
+    async def _replace(self, content: bytes) -> bool:
+        """Write the row if it is as known; return whether it was written."""
+        version = await self._store.put(self._name, content, self._version)
+        if version is None:
+            return False
+        self._version = version
         return True
+
+    async def _holds(self, content: bytes) -> bool:
+        """Read the row; return whether an earlier write was performed."""
+        rows = (await self._store.read_row(self._name)).rows
+        self._version = rows[0].version if rows else None
+        return bool(rows) and rows[0].content == content
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -300,6 +300,8 @@
         if row.content is None:
             self.remove(row.key)
             return None
+        if row.key == self._settings.host:
+            self._writer.record_version(row.version)
         entry = sitewire.decode_entry(row.content, row.key)
         if entry is None or entry.place.host != row.key:
             self._restore_row(row.key, row.content)
--- a/packages/stores/src/dragonflyknot/stores/rowstore.py
+++ b/packages/stores/src/dragonflyknot/stores/rowstore.py
@@ -97,8 +97,17 @@
     ) -> Snapshot:
         """Return the rows changed after a version. Raise HistoryLost."""
 
-    async def put(self, name: RowName, content: bytes) -> None:
-        """Write a row, whatever it held. Raise StoreOut."""
+    async def put(
+        self,
+        name: RowName,
+        content: bytes,
+        replaced: StoreVersion | None = None,
+    ) -> StoreVersion | None:
+        """Write a row if it has a version, or does not exist if None.
+
+        Return the version that it has now, None if it had another before.
+        Raise StoreOut.
+        """
 
     async def remove(
         self, names: Sequence[RowName], versions: Sequence[StoreVersion]
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -1,6 +1,7 @@
 """Test that acknowledgements hold in the next process of a host."""
 
 import asyncio
+from typing import Any
 
 import testtools
 
@@ -87,6 +88,23 @@
 
         run_async(body())
 
+    # Guards against a write of an earlier state that the store performs after
+    # the later one, which was acknowledged.
+    def test_late_write_of_an_earlier_state(self) -> None:
+        """Keep the row of the leaving upstream."""
+
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                late = fleet.heartbeat(0)
+                ready = _writes_of(fleet, 'host-0')[0]
+                await fleet.announce(0, UpstreamState.DRAINING)
+                fleet.store.perform(ready)
+                host = await _restart(fleet)
+                await host.handle_heartbeat(late)
+                await self._check_unused(fleet)
+
+        run_async(body())
+
     async def _check_unused(self, fleet: SiteFleet) -> None:
         """Check that requests at both hosts are served by the other one."""
         fleet.upstreams[0].seen.clear()
@@ -134,6 +152,15 @@
         run_async(body())
 
 
+def _writes_of(fleet: SiteFleet, key: str) -> list[dict[str, Any]]:
+    """Return the transactions that wrote a row."""
+    return [
+        one
+        for one in fleet.store.transactions
+        if key in {row['key'] for row in one['set_keys']}
+    ]
+
+
 async def _acknowledged(host: SiteHost, leaving: LeaveMessage) -> None:
     """Deregister an upstream again and again until it is acknowledged."""
     async with asyncio.timeout(ACKNOWLEDGED_DEADLINE_S):
--- a/tests/rowstandin.py
+++ b/tests/rowstandin.py
@@ -60,6 +60,7 @@
     epoch: int = 1
     switches: Switches = field(default_factory=Switches)
     calls: list[str] = field(default_factory=list)
+    transactions: list[dict[str, Any]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     links: set[ServerLink] = field(default_factory=set)
 
@@ -118,7 +119,9 @@
             case '/rows-feed':
                 status, answer = await self._feed(fields)
             case _:
-                status, answer = self._tx(json.loads(body))
+                transaction = json.loads(body)
+                self.transactions.append(transaction)
+                status, answer = self.perform(transaction)
         if self.switches.lose_answers > 0 and url.path == '/rows-tx':
             self.switches.lose_answers -= 1
             request.link.abort()
@@ -174,7 +177,8 @@
             if row['table'] == fields['table'] and row['ver'] > after
         ]
 
-    def _tx(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def perform(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Perform a transaction if its conditions hold."""
         for row in body['expected_rev']:
             name = (row['table'], row['key'])
             _content, version = self.rows.get(name, (b'', 0))
