--- a/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
+++ b/packages/callers/src/dragonflyknot/callers/forwardedrequest.py
@@ -8,7 +8,7 @@
 from dragonflyknot.decisions.candidates import HostQuery
 from dragonflyknot.exchange.hopheaders import MS_PER_SECOND
 from dragonflyknot.exchange.outcomes import OutgoingRequest
-from dragonflyknot.exchange.serverlink import Request
+from dragonflyknot.exchange.serverrequest import Request
 
 MIN_RETRY_LEFT_S: Final = 0.02
 
--- a/packages/callers/src/dragonflyknot/callers/siteedge.py
+++ b/packages/callers/src/dragonflyknot/callers/siteedge.py
@@ -23,7 +23,7 @@
 from dragonflyknot.exchange.hopheaders import MS_PER_SECOND
 from dragonflyknot.exchange.outcomes import Answered, OutgoingRequest
 from dragonflyknot.exchange.platformrefusals import PlatformRefusal, refuse
-from dragonflyknot.exchange.serverlink import Request, relay
+from dragonflyknot.exchange.serverrequest import Request, relay
 
 RETRY_AFTER_S: Final = 0.3
 # Usual time from the first refusal of a host that stops until it is back.
--- a/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
@@ -7,7 +7,7 @@
 
 from dragonflyknot.decisions.candidates import Load
 from dragonflyknot.exchange import telemetry
-from dragonflyknot.exchange.serverlink import Request
+from dragonflyknot.exchange.serverrequest import Request
 
 if TYPE_CHECKING:
     from dragonflyknot.daemon.sitehost import SiteHost
--- a/packages/exchange/src/dragonflyknot/exchange/platformrefusals.py
+++ b/packages/exchange/src/dragonflyknot/exchange/platformrefusals.py
@@ -6,7 +6,7 @@
 from dragonflyknot.decisions.calls import Outcome
 from dragonflyknot.decisions.refusals import Refusal, rule_of
 from dragonflyknot.exchange.dialect import Dialect
-from dragonflyknot.exchange.serverlink import Request
+from dragonflyknot.exchange.serverrequest import Request
 
 _JSON = b'Content-Type: application/json\r\n'
 
--- a/packages/peers/src/dragonflyknot/peers/sitelinks.py
+++ b/packages/peers/src/dragonflyknot/peers/sitelinks.py
@@ -31,7 +31,7 @@
     Outcome,
     OutgoingRequest,
 )
-from dragonflyknot.exchange.serverlink import Request, relay
+from dragonflyknot.exchange.serverrequest import Request, relay
 from dragonflyknot.exchange.telemetry import FaultLog
 
 LINK_IDLE_TIMEOUT_S: Final = 30.0
--- a/tests/platform/test_broken_uploads.py
+++ b/tests/platform/test_broken_uploads.py
@@ -7,7 +7,8 @@
 
 from asyncrun import run_async
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.exchange.serverlink import Request, serving
+from dragonflyknot.exchange.serverlink import serving
+from dragonflyknot.exchange.serverrequest import Request
 from sitefleet import SiteFleet
 
 # More than the sockets on the way take, so that the sender waits for room.
--- a/tests/unit/test_endless_messages.py
+++ b/tests/unit/test_endless_messages.py
@@ -11,7 +11,8 @@
 from asyncrun import run_async
 from dragonflyknot.exchange import clientlink, links, serverlink
 from dragonflyknot.exchange.clientlink import ClientLink
-from dragonflyknot.exchange.serverlink import Request, serving
+from dragonflyknot.exchange.serverlink import serving
+from dragonflyknot.exchange.serverrequest import Request
 
 RECEIVED_BYTES = 256 * 1024
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
--- a/tests/unit/test_many_small_hosts.py
+++ b/tests/unit/test_many_small_hosts.py
@@ -32,7 +32,7 @@
 from dragonflyknot.decisions.upstreamstate import Heartbeat, UpstreamRegister
 from dragonflyknot.exchange.hopheaders import Hop
 from dragonflyknot.exchange.outcomes import Answered, Outcome, OutgoingRequest
-from dragonflyknot.exchange.serverlink import Request
+from dragonflyknot.exchange.serverrequest import Request
 from dragonflyknot.exchange.telemetry import RateLimitedLog
 from dragonflyknot.upstreams.sitegate import SiteGate
 from virtualclock import run_virtual
--- a/tests/unit/test_shedding_service.py
+++ b/tests/unit/test_shedding_service.py
@@ -38,7 +38,7 @@
     Outcome,
     OutgoingRequest,
 )
-from dragonflyknot.exchange.serverlink import Request
+from dragonflyknot.exchange.serverrequest import Request
 from dragonflyknot.exchange.telemetry import RateLimitedLog
 
 SERVICE = 'deep'
