--- a/tests/platform/test_membership_calls.py
+++ b/tests/platform/test_membership_calls.py
@@ -58,7 +58,7 @@
                 await asyncio.sleep(FOLLOWING_S)
                 before = len(fleet.store.calls)
                 fleet.store.write('op', 'config', configuration(7))
-                await fleet.until(lambda: _all_have(fleet, 7))
+                await fleet.until(lambda: fleet.all_have(7))
                 await asyncio.sleep(SETTLED_S)
                 calls = fleet.store.calls[before:]
                 self.assertLessEqual(len(calls), FOLLOWERS_PER_REGION)
@@ -102,7 +102,7 @@
                     await host.__aexit__(None, None, None)
                 fleet.hosts = [one for one in fleet.hosts if one not in killed]
                 fleet.store.write('op', 'config', configuration(7))
-                await fleet.until(lambda: _all_have(fleet, 7))
+                await fleet.until(lambda: fleet.all_have(7))
 
         run_async(body())
 
@@ -121,7 +121,7 @@
                 fleet.store.forget_history()
                 await asyncio.sleep(SETTLED_S)
                 fleet.store.write('op', 'config', configuration(7))
-                await fleet.until(lambda: _all_have(fleet, 7))
+                await fleet.until(lambda: fleet.all_have(7))
 
         run_async(body())
 
@@ -139,7 +139,7 @@
                         await other.__aexit__(None, None, None)
                 fleet.hosts = [host]
                 fleet.store.write('op', 'config', configuration(7))
-                await fleet.until(lambda: _all_have(fleet, 7))
+                await fleet.until(lambda: fleet.all_have(7))
 
         run_async(body())
 
@@ -183,10 +183,6 @@
         setattr(host.platform.store, name, refused)
 
 
-def _all_have(fleet: SiteFleet, version: int) -> bool:
-    return all(host.policy.version == version for host in fleet.hosts)
-
-
 def _all_know_that_it_drains(fleet: SiteFleet) -> bool:
     return all(
         host.members.view.entries_by_host['host-3'].place.state
--- a/tests/platform/test_site_store.py
+++ b/tests/platform/test_site_store.py
@@ -97,12 +97,12 @@
                 await fleet.until(lambda: _all_follow(fleet))
                 fleet.store.switches.silent = True
                 fleet.store.write('op', 'config', configuration(2))
-                await fleet.until(lambda: _all_have(fleet, 2))
+                await fleet.until(lambda: fleet.all_have(2))
                 # The followers ask for the next change, in vain.
                 await asyncio.sleep(0.2)
                 fleet.store.switches.silent = False
                 fleet.store.write('op', 'config', configuration(3, keys=()))
-                await fleet.until(lambda: _all_have(fleet, 3))
+                await fleet.until(lambda: fleet.all_have(3))
                 reply = await fleet.ask(0)
                 self.assertEqual(401, reply.status)
 
@@ -129,10 +129,6 @@
     return all(one.policy.is_following for one in fleet.hosts)
 
 
-def _all_have(fleet: SiteFleet, version: int) -> bool:
-    return all(one.policy.version == version for one in fleet.hosts)
-
-
 class _Away(StoreClient):
     """Stand for a store that turns a host away."""
 
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -177,6 +177,10 @@
         """Tell whether all daemons serve callers."""
         return all(host.is_ready for host in self.hosts)
 
+    def all_have(self, version: int) -> bool:
+        """Tell whether all daemons have a version of the configuration."""
+        return all(host.policy.version == version for host in self.hosts)
+
     def all_know(self) -> bool:
         """Tell whether all daemons know each other and the configuration."""
         return all(
