Bound what the sessions of the own interface parse ahead

What could happen: as on the platform's links, an upstream that answers without end filled the memory of the daemon.

Cause: aiohttp's client parses each read as a whole and queues all messages.

Change: its connections parse in parts of 4 KB and drop what follows 16 queued responses; they aren't used again.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -20,8 +20,6 @@
 SWITCHING_PROTOCOLS_STATUS: Final = 101
 # More interim responses to one request break the link.
 MAX_INTERIM_RESPONSES: Final = 16
-# Responses that wait to be read; more of them break the link.
-MAX_QUEUED_RESPONSES: Final = 16
 # A link that carried so many requests that were not served is closed.
 MAX_UNSERVED_IDS: Final = 64
 
@@ -259,7 +257,7 @@
                 )
             )
         self._wake_waiter()
-        if len(self._responses) > MAX_QUEUED_RESPONSES:
+        if len(self._responses) > links.MAX_QUEUED_RESPONSES:
             self._fail(None)
 
     def _skip_interim(self, status: int) -> None:
--- a/packages/exchange/src/dragonflyknot/exchange/links.py
+++ b/packages/exchange/src/dragonflyknot/exchange/links.py
@@ -35,6 +35,8 @@
 """Beyond this, bytes without a complete response head break the link."""
 PARSED_BYTES: Final = 4096
 """The most received bytes that are parsed in one step."""
+MAX_QUEUED_RESPONSES: Final = 16
+"""The most responses that wait to be read; more of them break the link."""
 MAX_BUFFERED_BODY_BYTES: Final = 512 * 1024
 """The largest body that a daemon buffers."""
 
--- a/packages/exchange/src/dragonflyknot/exchange/sessions.py
+++ b/packages/exchange/src/dragonflyknot/exchange/sessions.py
@@ -13,6 +13,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from dragonflyknot.exchange import links
+
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
 KEEPALIVE_S = 60.0
@@ -26,7 +28,18 @@
 
 
 class _KeptConnection(ResponseHandler):
-    """A connection that counts as closed once it must not be used again."""
+    """A connection that counts as closed once it must not be used again.
+
+    Where more responses arrive than were asked for, the rest is not parsed.
+    """
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes in parts; drop what follows many responses."""
+        for part in links.split_received(data):
+            if len(self) > links.MAX_QUEUED_RESPONSES:
+                self.force_close()
+                return
+            super().data_received(part)
 
     def is_connected(self) -> bool:
         """Tell whether the connection may carry another request."""
--- a/tests/unit/test_endless_messages.py
+++ b/tests/unit/test_endless_messages.py
@@ -4,15 +4,19 @@
 """
 
 import asyncio
+from contextlib import suppress
+from typing import Any
 from unittest import mock
 
 import testtools
+from aiohttp.streams import DataQueue
 
 from asyncrun import run_async
 from dragonflyknot.exchange import clientlink, links, serverlink
 from dragonflyknot.exchange.clientlink import ClientLink
 from dragonflyknot.exchange.serverlink import serving
 from dragonflyknot.exchange.serverrequest import Request
+from dragonflyknot.exchange.sessions import relay_session
 
 RECEIVED_BYTES = 256 * 1024
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -33,7 +37,7 @@
             link = _open_link()
             link.data_received(ANSWERS)
             in_one_part = links.PARSED_BYTES // len(ANSWER)
-            most = clientlink.MAX_QUEUED_RESPONSES + in_one_part
+            most = links.MAX_QUEUED_RESPONSES + in_one_part
             self.assertLessEqual(len(link._responses), most)
             answer = await link.receive()
             self.assertEqual(200, answer.status)
@@ -57,6 +61,49 @@
         run_async(body())
 
 
+class RelaySessionTest(testtools.TestCase):
+    """An upstream of the project's own interface sends answers without end."""
+
+    # Guards against a process that runs out of memory over the answers that
+    # follow the one that was asked for.
+    def test_answers_behind_the_first_are_dropped(self) -> None:
+        """Return the first answer and parse a bounded number of others."""
+        queued: list[object] = []
+        feed_data = DataQueue.feed_data
+
+        def count(queue: DataQueue[Any], message: Any, size: int = 0) -> None:
+            queued.append(message)
+            feed_data(queue, message, size)
+
+        async def body() -> None:
+            server = await asyncio.start_server(
+                _answer_without_end, '127.0.0.1', 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            async with server, relay_session() as session:
+                url = f'http://127.0.0.1:{port}/x'
+                async with session.get(url) as answer:
+                    self.assertEqual(200, answer.status)
+                    self.assertEqual(b'ok', await answer.read())
+
+        with mock.patch.object(DataQueue, 'feed_data', count):
+            run_async(body())
+        in_one_part = links.PARSED_BYTES // len(ANSWER) + 1
+        most = links.MAX_QUEUED_RESPONSES + in_one_part
+        self.assertLessEqual(len(queued), most)
+
+
+async def _answer_without_end(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.readuntil(b'\r\n\r\n')
+    with suppress(ConnectionError):
+        while True:
+            writer.write(ANSWERS)
+            await writer.drain()
+    writer.close()
+
+
 class ServerLinkTest(testtools.TestCase):
     """A client sends requests without waiting for answers."""
 
