--- a/review/6/case.py
+++ b/review/6/case.py
@@ -90,13 +90,13 @@
 
 async def main() -> int:
     """Return the exit status of the case."""
-    async with Site(HERE) as site:
-        try:
+    try:
+        async with Site(HERE) as site:
             holds = await play(site, trouble=os.environ.get('TROUBLE') != '0')
-        except Exception as error:
-            site.record('failed', error=repr(error))
-            return 2
-        return 0 if holds else 1
+    except Exception as error:
+        sys.stderr.write(f'The case could not run: {error!r}\n')
+        return 2
+    return 0 if holds else 1
 
 
 if __name__ == '__main__':
