--- a/review/common-2/site2.py
+++ b/review/common-2/site2.py
@@ -209,10 +209,10 @@
 class Site:
     """Run a store and daemons; a context manager that ends them."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, store: Store | None = None) -> None:
         """Use `folder` for `record.txt`; settings lie in a temporary one."""
         self.record = Record(folder / 'record.txt')
-        self.store = Store()
+        self.store = store or Store()
         self.store_address = free_address()
         self.daemons: list[Daemon] = []
         self._temporary = tempfile.TemporaryDirectory()
