--- a/review/common-2/site2.py
+++ b/review/common-2/site2.py
@@ -241,9 +241,13 @@
 
     async def configure(self, version: int, **changes: Any) -> None:
         """Write a configuration, as the operator does."""
-        content = json.dumps(configuration(version, **changes)).encode()
+        await self.write_configuration(configuration(version, **changes))
+
+    async def write_configuration(self, document: dict[str, Any]) -> None:
+        """Write a whole configuration."""
+        content = json.dumps(document).encode()
         await self.store.write('op', 'config', content)
-        self.record('config', version=version)
+        self.record('config', version=document['version'])
 
 
 def configuration(
