Tests: crowds of clients that don't behave, against a process of its own

What callers saw: in a trial by the users such clients ended a process; it ran out of memory, and ordinary callers got nothing.

Each test starts the platform's daemon (or one of the project's own interface) on loopback with lowered limits: 100 MB (160 on the own interface, whose process alone takes some 100) and 300 sockets beside 200 descriptors for files. A crowd of 200 clients (500 for descriptors) in another process sends one form and reads no answers. Checked: the process lives, its memory at the peak with what its sockets hold in the kernel stays below the machine's, its sockets stay below theirs, endless bytes get closed, and an ordinary request is served beside the crowd and after it. No times, no shares.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 export PYTHONHASHSEED := 0
 
 .PHONY: setup spin run test format format-check lint types tests tests-inside \
-	tests-processes soak model \
+	tests-processes tests-clients soak model \
 	model-mutants measure measure-quick slopes wire requirements clean
 
 setup: $(VENV)/.ready
@@ -35,10 +35,12 @@
 	$(BIN)/python -m demonstration.main
 
 # The checks that run no process come first, side by side; then the tests
-# that wait for processes run beside those that do not.
+# that wait for processes run beside those that do not. Those that press on
+# a process run alone.
 test: setup
 	$(MAKE) -j4 --output-sync=target format-check lint types model
 	$(MAKE) -j2 --output-sync=target tests-inside tests-processes
+	$(MAKE) tests-clients
 
 format: setup
 	$(BIN)/ruff format $(CODE)
@@ -63,6 +65,9 @@
 tests-processes: setup
 	$(BIN)/pytest tests/integration tests/soak
 
+tests-clients: setup
+	$(BIN)/pytest tests/clients
+
 # Random faults against a small site: make soak SEED=7 MINUTES=2 SEEDS=10
 SEED ?= 1
 SEEDS ?= 1
--- a/measure/harness/sitedaemon.py
+++ b/measure/harness/sitedaemon.py
@@ -31,6 +31,7 @@
 readiness = "{host.readiness}"
 [platform]
 address = "{store}"
+{limits}
 """
 
 
@@ -55,8 +56,9 @@
         store: str,
         program: tuple[str, ...] = (str(ENTRY),),
         grace_s: int = 2,
+        limits: str = '',
     ) -> Process:
-        """Start the daemon's process."""
+        """Start the daemon's process; `limits` is a part of its settings."""
         settings = folder / f'{self.name}.toml'
         settings.write_text(
             SETTINGS.format(
@@ -64,6 +66,7 @@
                 port=self.operators.rpartition(':')[2],
                 grace_s=grace_s,
                 store=store,
+                limits=limits,
             )
         )
         return await start_program(
--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of clients that do not behave, each against a process of its own."""
--- a/tests/fakeupstream.py
+++ b/tests/fakeupstream.py
@@ -24,7 +24,8 @@
 class FakeUpstream:
     """Serve requests with a script; the default answers whole.
 
-    Connections that open while `is_stalled` is set are not read.
+    Connections that open while `is_stalled` is set are not read. While
+    `answers_early` is set, an answer precedes the body, which is not read.
     """
 
     instance: str = 'i-1'
@@ -32,6 +33,7 @@
     script: Script | None = None
     dropped: int = 0
     is_stalled: bool = False
+    answers_early: bool = False
     connections: int = 0
 
     async def serve(
@@ -42,15 +44,20 @@
         try:
             if self.is_stalled:
                 await asyncio.sleep(STALL_S)
-            while (seen := await _read(reader)) is not None:
+            while (seen := await self._read(reader)) is not None:
                 self.seen.append(seen)
                 await (self.script or answer)(seen, writer)
                 await writer.drain()
+                if self.answers_early:
+                    await asyncio.sleep(STALL_S)
         except (ConnectionError, asyncio.IncompleteReadError):
             self.dropped += 1
         finally:
             writer.close()
 
+    async def _read(self, reader: asyncio.StreamReader) -> Seen | None:
+        return await _read(reader, has_body=not self.answers_early)
+
     @asynccontextmanager
     async def listening(self, port: int) -> AsyncIterator[None]:
         """Listen on loopback."""
@@ -78,7 +85,7 @@
     writer.write(whole(seen))
 
 
-async def _read(reader: asyncio.StreamReader) -> Seen | None:
+async def _read(reader: asyncio.StreamReader, *, has_body: bool) -> Seen | None:
     line = await reader.readline()
     if not line:
         return None
@@ -87,6 +94,8 @@
         name, _colon, value = text.partition(':')
         headers[name.lower()] = value.strip()
     body = b''
+    if not has_body:
+        return Seen(line.decode().strip(), headers, body)
     if 'content-length' in headers:
         body = await reader.readexactly(int(headers['content-length']))
     elif headers.get('transfer-encoding') == 'chunked':
