Receive the requests of a connection one at a time, in bounded steps

What callers saw: a process that ran out of memory over heads of many long fields, and over requests sent ahead; empty lines before a request were read for ever.

Cause: received bytes went to the parser as they came. It bounds a line and the number of lines, so a head could take 4 MB, and 64 parsed requests waited on each connection. Bytes that bring no request nearer, as empty lines, counted nowhere. All that a read returned was parsed before anybody else had a turn.

Moved: the listener is exchange/listener, split from serverlink.

--- a/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
@@ -93,6 +93,8 @@
         yield f'dragonflyknot_log_lines_dropped {counts.log.dropped}'
         yield f'dragonflyknot_in_flight {host.in_flight}'
         yield f'dragonflyknot_body_bytes {host.memory.held_bytes}'
+        closed = host.memory.closed_links
+        yield f'dragonflyknot_links_closed_for_room {closed}'
         yield from _load_lines(load)
         yield from self._site_lines()
         yield from self._usage_lines()
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -31,8 +31,8 @@
     LeaveMessage,
     UpstreamRegister,
 )
-from dragonflyknot.exchange.bodymemory import BodyMemory
-from dragonflyknot.exchange.serverlink import (
+from dragonflyknot.exchange.clientmemory import ClientMemory
+from dragonflyknot.exchange.listener import (
     Handler,
     Limits,
     Server,
@@ -45,6 +45,10 @@
 
 TRIM_S: Final = 5.0
 PEER_IDLE_S: Final = 90.0
+PEER_HEAD_BYTES: Final = 65536
+# Requests have shorter timeouts; their bodies end with them.
+PEER_BODY_S: Final = 120.0
+CONTROL_BODY_S: Final = 10.0
 # A later acknowledgement comes too late for the upstream, which asks again.
 MAX_ACK_S: Final = 0.8
 _log = structlog.get_logger(__name__)
@@ -68,7 +72,7 @@
         )
         self.site_retries = SiteRetryBudget(settings.retry_bound)
         self.links = PeerLinks()
-        self.memory = BodyMemory(settings.max_body_memory_bytes)
+        self.memory = ClientMemory(settings.client_memory_bytes)
         self.policy = SitePolicy(
             platform,
             self.links,
@@ -177,6 +181,13 @@
         )
         siteusage.log_usage(self.platform.store, self.links)
 
+    def control_limits(self) -> Limits:
+        """Return the limits of a listener that serves no requests."""
+        return Limits(
+            body_s=CONTROL_BODY_S,
+            memory=self.memory,
+        )
+
     def load(self) -> Load:
         """Return the load to tell other daemons."""
         return self.gate.load()
@@ -212,7 +223,12 @@
             self.policy.record_peer_version,
         )
         self._caller_limits = Limits(memory=self.memory)
-        peers = Limits(head_bytes=65536, idle_s=PEER_IDLE_S, memory=self.memory)
+        peers = Limits(
+            head_bytes=PEER_HEAD_BYTES,
+            body_s=PEER_BODY_S,
+            idle_s=PEER_IDLE_S,
+            memory=self.memory,
+        )
         self._peers_server = await _open(
             stack, settings.peers_listen, receiver.serve, peers
         )
@@ -223,7 +239,9 @@
             self._caller_limits,
         )
         admin = siteadmin.SiteAdmin(self)
-        await _open(stack, settings.operators_listen, admin.serve, Limits())
+        await _open(
+            stack, settings.operators_listen, admin.serve, self.control_limits()
+        )
 
     async def _control(self, path: str, content: bytes) -> bytes | None:
         match path:
--- a/packages/daemon/src/dragonflyknot/daemon/sitesettings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitesettings.py
@@ -7,7 +7,7 @@
 
 from dragonflyknot.decisions.siteconfig import SiteConfiguration
 from dragonflyknot.decisions.siteretries import SiteRetryBound
-from dragonflyknot.exchange.bodymemory import DEFAULT_LIMIT_BYTES
+from dragonflyknot.exchange.clientmemory import DEFAULT_LIMIT_BYTES
 from dragonflyknot.exchange.dialect import Dialect
 from dragonflyknot.stores.rowstore import RowName, RowStore
 
@@ -18,7 +18,7 @@
 
     Callers leave a host within `callers_leave_s` after it stops being ready.
     A process must end within `grace_s` after it was told to stop.
-    Bodies of requests and answers may take `max_body_memory_bytes` together.
+    What is held for clients may take `client_memory_bytes` in all.
     `is_first_start` tells that the whole site starts for the first time.
     """
 
@@ -35,7 +35,7 @@
     callers_leave_s: float = 2.1
     grace_s: float = 6.0
     retry_bound: SiteRetryBound = field(default_factory=SiteRetryBound)
-    max_body_memory_bytes: int = DEFAULT_LIMIT_BYTES
+    client_memory_bytes: int = DEFAULT_LIMIT_BYTES
     is_first_start: bool = False
 
 
--- a/packages/daemon/src/dragonflyknot/daemon/sitestop.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitestop.py
@@ -18,7 +18,7 @@
 
 from dragonflyknot.callers.siteedge import SiteEdge
 from dragonflyknot.daemon.tasks import Tasks
-from dragonflyknot.exchange.serverlink import Server
+from dragonflyknot.exchange.listener import Server
 from dragonflyknot.upstreams.sitegate import SiteGate
 
 MAX_LEAVE_SHARE: Final = 0.35
--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -16,10 +16,14 @@
 
 from dragonflyknot.exchange import links
 
+FIRST_STATUS: Final = 100
 FIRST_FINAL_STATUS: Final = 200
+LAST_STATUS: Final = 599
 SWITCHING_PROTOCOLS_STATUS: Final = 101
 # More interim responses to one request break the link.
 MAX_INTERIM_RESPONSES: Final = 16
+# What one read may bring before a slow client stops the reading.
+RECEIVE_BUFFER_BYTES: Final = 64 * 1024
 # A link that carried so many requests that were not served is closed.
 MAX_UNSERVED_IDS: Final = 64
 
@@ -106,12 +110,10 @@
         return last is None or (last.is_keep_alive and last.reader.is_eof())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Set the keepalive options; the event loop sets TCP_NODELAY."""
+        """Set the socket's options; the event loop sets TCP_NODELAY."""
         self.transport = cast(asyncio.Transport, transport)
-        links.set_keepalive(
-            transport.get_extra_info('socket'),
-            user_timeout_ms=self._silent_after_ms,
-        )
+        connection = transport.get_extra_info('socket')
+        links.set_keepalive(connection, user_timeout_ms=self._silent_after_ms)
 
     def connection_lost(self, error: BaseException | None) -> None:
         """Fail the body in progress and wake the waiting request."""
--- a/packages/exchange/src/dragonflyknot/exchange/links.py
+++ b/packages/exchange/src/dragonflyknot/exchange/links.py
@@ -10,12 +10,12 @@
 from collections.abc import AsyncIterator, Iterable, Iterator
 from dataclasses import dataclass
 from functools import lru_cache
-from typing import Final, cast
+from typing import Final, Protocol, cast
 
 from aiohttp import http_parser
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.streams import EMPTY_PAYLOAD
 
-from dragonflyknot.exchange import bodymemory
+from dragonflyknot.exchange import clientmemory
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 """Header lines as received: pairs of name and value."""
@@ -41,6 +41,19 @@
 """The largest body that a daemon buffers."""
 
 
+class BodySource(Protocol):
+    """Yields a body while it arrives."""
+
+    def is_eof(self) -> bool:
+        """Return whether all content has arrived."""
+
+    def at_eof(self) -> bool:
+        """Return whether all content has arrived and was read."""
+
+    async def readany(self) -> bytes:
+        """Return what has arrived; wait if nothing has."""
+
+
 @dataclass(frozen=True, slots=True)
 class StreamedBody:
     """Hold a body that is forwarded while it arrives.
@@ -49,7 +62,7 @@
     """
 
     first_part: bytes
-    reader: StreamReader
+    reader: BodySource
 
 
 Body = bytes | StreamedBody
@@ -148,7 +161,7 @@
     return b'%x\r\n%b\r\n' % (len(content), content)
 
 
-async def buffer_body(reader: StreamReader) -> Body:
+async def buffer_body(reader: BodySource) -> Body:
     """Return a small body as bytes and a larger one as a stream.
 
     The limit is `MAX_BUFFERED_BODY_BYTES`, and less if the process holds much.
@@ -163,9 +176,9 @@
             part = await reader.readany()
             parts.append(part)
             size += len(part)
-            has_room = bodymemory.hold(len(part)) or reader.at_eof()
+            has_room = clientmemory.hold(len(part)) or reader.at_eof()
             if size > MAX_BUFFERED_BODY_BYTES or not has_room:
-                bodymemory.hold(bodymemory.READ_AHEAD_BYTES)
+                clientmemory.hold(clientmemory.READ_AHEAD_BYTES)
                 return StreamedBody(b''.join(parts), reader)
     except Exception as error:
         raise BodyBroken from error
--- a/packages/exchange/src/dragonflyknot/exchange/relaying.py
+++ b/packages/exchange/src/dragonflyknot/exchange/relaying.py
@@ -11,6 +11,8 @@
 from multidict import CIMultiDict
 
 MAX_BUFFERED_BYTES = 64 * 1024
+FIRST_STATUS = 100
+LAST_STATUS = 599
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
--- a/packages/exchange/src/dragonflyknot/exchange/serverlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverlink.py
@@ -1,211 +1,153 @@
-"""Server side of HTTP/1.1 links: receive requests and write responses.
+"""Server side of HTTP/1.1 links: serve requests and write responses.
 
-A link serves its requests one after the other, in a task of its own. If the
-client disconnects, the task is cancelled.
+A link serves its requests one after the other, each in a task. If the client
+disconnects, the task is cancelled.
 """
 
 import asyncio
 import socket
+import struct
 import time
-from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass, field
-from typing import Any, Final, cast
+from contextlib import suppress
+from typing import TYPE_CHECKING, Final, cast
 
 import structlog
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_writer import HttpVersion10
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from dragonflyknot.exchange import links
-from dragonflyknot.exchange.bodymemory import BodyMemory
+from dragonflyknot.exchange.bodyreader import BodyReader
+from dragonflyknot.exchange.clientmemory import HeldBytes
+from dragonflyknot.exchange.linkaccount import LinkAccount
+from dragonflyknot.exchange.requestheads import HeadParser, RequestHead
+from dragonflyknot.exchange.requestreceiver import RequestReceiver
 from dragonflyknot.exchange.serverrequest import Request, encode_head
 
-BACKLOG: Final = 1024
-SWEEP_INTERVAL_S: Final = 1.0
-# Requests of a connection that wait for their turn; after more of them, those
-# are answered and the connection is closed.
+if TYPE_CHECKING:
+    from dragonflyknot.exchange.listener import Server
+
+# Requests that a client sends while the one before is served; after more of
+# them in a row, the connection is closed.
 MAX_PIPELINED_REQUESTS: Final = 64
 MAX_DISCARDED_BYTES: Final = 4 * 1024 * 1024
+# Time for a client to read the last answer while it still sends.
+LINGER_S: Final = 2.0
 BAD_GATEWAY: Final = 502
 WRITE_TIMEOUT_S: Final = 20.0
+# What the objects of a link take, in bytes.
+LINK_BYTES: Final = 8 * 1024
+MAX_UNSENT_BYTES: Final = 32 * 1024
+# Linger for no time: drop what was not sent, and reset.
+_RESET: Final = struct.pack('ii', 1, 0)
 _log = structlog.get_logger(__name__)
 
 
-@dataclass(slots=True)
-class Limits:
-    """Limit the links of a listener.
+class ServerLink(BaseProtocol):
+    """Serve the requests of one connection.
 
-    `head_bytes` bounds a header line or field, in bytes. `head_s` is the
-    timeout for receiving a request head and `idle_s` that of an idle
-    connection, in seconds. `memory` counts what the requests hold.
+    `ends_body_by_close` tells that only a reset shows that a body was cut.
     """
 
-    head_bytes: int = 16384
-    head_s: float = 5.0
-    idle_s: float = 75.0
-    memory: BodyMemory = field(default_factory=BodyMemory)
-
-
-Handler = Callable[[Request], Awaitable[None]]
-
-
-class Server:
-    """Hold the state that the links of one listener share."""
-
-    def __init__(self, handler: Handler, limits: Limits) -> None:
-        """Create a server without a listener and links."""
-        self.handler = handler
-        self.limits = limits
-        self.is_closing = False
-        self.port = 0
-        self.loop = asyncio.get_running_loop()
-        self._listener: asyncio.Server | None = None
-        self._socket: socket.socket | None = None
-        self._accepting: set[asyncio.Task[Any]] = set()
-        self.links: set[ServerLink] = set()
-
-    def sweep(self, now: float) -> None:
-        """Close the links that exceeded a timeout at `now`."""
-        for link in tuple(self.links):
-            link.close_if_timed_out(now)
-
-    async def listen(self, host: str, port: int) -> None:
-        """Accept connections on an address and store its port."""
-        listening = socket.socket()
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.setblocking(False)
-        try:
-            listening.bind((host, port))
-            self._listener = await self.loop.create_server(
-                lambda: ServerLink(self), sock=listening, backlog=BACKLOG
-            )
-        except BaseException:
-            listening.close()
-            raise
-        self._socket = listening
-        self.port = listening.getsockname()[1]
-
-    def stop_listening(self) -> None:
-        """Stop accepting connections; serve those that were made before.
-
-        Connections that wait to be accepted would be reset by the close.
-        """
-        if self._listener is None or self._socket is None:
-            return
-        with suppress(OSError):
-            while True:
-                connection, _address = self._socket.accept()
-                self._adopt(connection)
-        self._listener.close()
-        self._listener = None
-
-    def _adopt(self, connection: socket.socket) -> None:
-        connection.setblocking(False)
-        task = self.loop.create_task(
-            self.loop.connect_accepted_socket(
-                lambda: ServerLink(self), connection
-            )
-        )
-        self._accepting.add(task)
-        task.add_done_callback(self._accepting.discard)
-
-    @property
-    def in_flight(self) -> int:
-        """Return the number of links whose answers are not yet written."""
-        return sum(link.is_busy for link in self.links)
-
-    def abort(self) -> None:
-        """Stop listening and abort all links."""
-        self.stop_listening()
-        for task in tuple(self._accepting):
-            task.cancel()
-        for link in tuple(self.links):
-            link.abort()
-
-    def close_idle(self) -> None:
-        """Close the links that have no request in progress."""
-        for link in tuple(self.links):
-            link.close_if_idle()
-
-
-class ServerLink(BaseProtocol):
-    """Receive and serve requests on one connection."""
-
-    def __init__(self, server: Server) -> None:
-        """Create the request parser."""
-        loop = server.loop
-        limits = server.limits
-        parser: Any = links.REQUEST_PARSER(
+    def __init__(self, server: 'Server') -> None:
+        """Create a link; it takes part once its connection is made."""
+        super().__init__(server.loop)
+        self.server = server
+        self.ends_body_by_close = False
+        self._receiver = RequestReceiver(
             self,
-            loop,
-            links.READ_LIMIT_BYTES,
-            max_line_size=limits.head_bytes,
-            max_headers=links.MAX_HEADERS,
-            max_field_size=limits.head_bytes,
-            auto_decompress=False,
+            HeadParser(self, server.loop),
+            server.loop,
+            server.parse_queue,
         )
-        super().__init__(loop, parser)
-        self._reader = parser
-        self.server = server
-        self._requests: deque[Request] = deque()
+        self._account = LinkAccount(server.limits.memory)
         self._task: asyncio.Task[None] | None = None
-        self._is_unusable = False
-        self._last_active_at = time.monotonic()
-        self._unwritten_bytes = 0
-        self._is_reading_head = False
+        self._held: HeldBytes | None = None
+        self._is_ending = False
+        self._pipelined = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the server; the event loop sets TCP_NODELAY."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self.server.links.add(self)
+        self._recount()
 
     def connection_lost(self, error: BaseException | None) -> None:
         """Cancel the request in progress, as the client disconnected."""
         super().connection_lost(error)
-        self.server.links.discard(self)
-        self._requests.clear()
+        self._receiver.close(links.BodyBroken())
         if self._task is not None:
             self._task.cancel()
+        self._account.count(0)
+        self.server.links.remove(self)
+        self.server.departures.remove(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes and start to serve complete heads."""
-        self._last_active_at = time.monotonic()
-        for part in links.split_received(data):
-            if self._is_unusable:
-                return
-            self._parse(part)
-
-    def _parse(self, data: bytes) -> None:
-        try:
-            messages, is_upgraded, _tail = self._reader.feed_data(data)
-        except HttpProcessingError as error:
-            self._refuse_malformed(error)
+        """Take in received bytes."""
+        now = time.monotonic()
+        self._account.record_received(len(data), now)
+        is_first = not (self.is_serving or self._receiver.is_reading_head)
+        if is_first and not self._is_ending:
+            self._receiver.is_reading_head = True
+            self._account.begin_wait(now)
+        self._receiver.take(data)
+
+    @property
+    def head_line_bytes(self) -> int:
+        """Return the most bytes of a line of a head."""
+        return self.server.limits.head_bytes
+
+    def begin(self, head: RequestHead, body: BodyReader | None) -> None:
+        """Begin to serve a request whose head has arrived."""
+        arrived_at = self._account.last_active_at
+        self._account.begin_wait(arrived_at)
+        is_last = head.is_last or self._receiver.is_at_end
+        if self._pipelined >= MAX_PIPELINED_REQUESTS:
+            _log.info('pipeline_too_long')
+            is_last = True
+        request = Request(
+            method=head.method,
+            target=head.target,
+            lines=head.lines,
+            head=head.by_name,
+            reader=EMPTY_PAYLOAD if body is None else body,
+            link=self,
+            is_keep_alive=head.is_keep_alive and not is_last,
+            arrived_at=arrived_at,
+            takes_chunks=head.takes_chunks,
+        )
+        self._task = self._loop.create_task(self._run(request))
+
+    def settle(self, *, may_read: bool) -> None:
+        """Count what is held; read on, or stop reading."""
+        self._recount()
+        transport = self.transport
+        if transport is None or transport.is_closing():
             return
-        for message, payload in messages:
-            self._is_reading_head = False
-            self._requests.append(self._request(message, payload))
-        if not messages and self._task is None:
-            self._is_reading_head = True
-        if is_upgraded:
-            self._is_unusable = True
-        if len(self._requests) > MAX_PIPELINED_REQUESTS:
-            self._stop_after_last()
-        if self._task is None and self._requests:
-            self._task = self._loop.create_task(self._run())
-
-    def _stop_after_last(self) -> None:
-        """Read no more requests; close the connection after those that wait.
-
-        Their bodies are whole, as a request that has been dropped followed.
-        """
-        while len(self._requests) > MAX_PIPELINED_REQUESTS:
-            self._requests.pop()
-        self._requests[-1].is_keep_alive = False
-        self._is_unusable = True
-        _log.info('pipeline_too_long')
+        if may_read:
+            self._read_on(transport)
+        elif not self._reading_paused:
+            self._reading_paused = True
+            transport.pause_reading()
+
+    def refuse(self, error: Exception) -> None:
+        """Refuse what cannot be parsed, and close."""
+        _log.info('request_malformed', error=type(error).__name__)
+        if self._task is not None:
+            self._task.cancel()
+            self.abort()
+            return
+        code = error.code if isinstance(error, HttpProcessingError) else 400
+        status = code if code in {400, 413, 431} else 400
+        lines = (b'Content-Length: 0\r\n',)
+        self.write(encode_head(status, lines, b'Connection: close\r\n\r\n'))
+        self._end()
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether a request is in progress."""
+        return self._task is not None
 
     @property
     def is_busy(self) -> bool:
@@ -225,6 +167,32 @@
             raise RuntimeError('No request is in progress on this link.')
         return self._task
 
+    @property
+    def held_bytes(self) -> int:
+        """Return all that is counted for this link, in bytes."""
+        if self._held is None:
+            return self._account.held_bytes
+        return self._account.held_bytes + self._held.count
+
+    @property
+    def waiting_since(self) -> float | None:
+        """Return since when this link waits for its client.
+
+        In seconds of the monotonic clock; None if the client waits.
+        """
+        is_waiting = self._task is None or self._is_ending or self._paused
+        if is_waiting or self._awaits_body:
+            return self._account.waiting_since
+        return None
+
+    @property
+    def moved_bytes(self) -> int:
+        """Return the bytes received, or read by the client, in this wait."""
+        body = self._receiver.body
+        if body is not None and self._awaits_body and not self._paused:
+            return body.received_bytes
+        return self._account.moved_bytes
+
     def send_continue(self, request: Request) -> None:
         """Send `100 Continue` if the client expects it."""
         expects = request.head.get(b'expect')
@@ -234,17 +202,45 @@
     def write(self, content: bytes) -> None:
         """Write to the client, unless it disconnected."""
         if self.transport is not None:
-            self._last_active_at = time.monotonic()
+            self._account.last_active_at = time.monotonic()
             self.transport.write(content)
 
     async def drain(self) -> None:
         """Wait until the write buffer has room."""
         await self._drain_helper()
 
+    def pause_writing(self) -> None:
+        """Wait for the client, which doesn't read as fast as it is sent to."""
+        super().pause_writing()
+        self._account.begin_wait(time.monotonic())
+
     def abort(self) -> None:
         """Abort the connection, so that the client sees an error."""
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if self.ends_body_by_close:
+            # A plain close would look like the end of the body.
+            connection = self.transport.get_extra_info('socket')
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self.transport.abort()
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection, negative if closed."""
+        if self.transport is None:
+            return -1
+        return int(self.transport.get_extra_info('socket').fileno())
+
+    def client_left(self) -> None:
+        """End the request in progress, as the client has disconnected."""
+        self.abort()
+
+    def close_for_room(self) -> None:
+        """Close the connection, as others need what it holds."""
+        if self._task is None and not self._receiver.is_reading_head:
+            self.close_if_idle()
+        else:
+            _log.info('link_closed_for_room', held_bytes=self.held_bytes)
+            self.abort()
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
@@ -254,52 +250,83 @@
     def close_if_timed_out(self, now: float) -> None:
         """Close the connection if it exceeded a timeout at `now`.
 
-        A request in progress is aborted only if its client stopped reading.
+        A request in progress is aborted only if its client stopped reading,
+        or stopped sending the body.
         """
-        self._record_progress(now)
-        inactive_s = now - self._last_active_at
-        limits = self.server.limits
-        if self._task is not None:
-            if self._paused and inactive_s > WRITE_TIMEOUT_S:
+        transport = self.transport
+        if transport is not None and self._paused:
+            unwritten_bytes = transport.get_write_buffer_size()
+            self._account.record_unwritten(unwritten_bytes, now)
+        self._recount()
+        inactive_s = now - self._account.last_active_at
+        waited_s = now - self._account.waiting_since
+        if self._is_ending:
+            if waited_s > LINGER_S:
                 self.abort()
-            return
-        limit_s = limits.head_s if self._is_reading_head else limits.idle_s
-        if inactive_s > limit_s:
-            self.close_if_idle()
+        elif self._task is None:
+            if self._is_overdue(inactive_s, waited_s):
+                self.close_if_idle()
+        elif self._has_stopped(inactive_s, waited_s):
+            self.abort()
 
-    def _record_progress(self, now: float) -> None:
-        """Record as activity that the client has read since the last call."""
-        transport = self.transport
-        if transport is None or not self._paused:
-            return
-        unwritten_bytes = transport.get_write_buffer_size()
-        if unwritten_bytes < self._unwritten_bytes:
-            self._last_active_at = now
-        self._unwritten_bytes = unwritten_bytes
-
-    def _request(self, message: Any, payload: StreamReader) -> Request:
-        target: str = message.path
-        return Request(
-            method=message.method,
-            target=target.encode('utf-8', 'surrogateescape'),
-            lines=message.raw_headers,
-            head=links.index_headers(message.raw_headers),
-            reader=payload,
-            link=self,
-            is_keep_alive=not message.should_close
-            and message.version != HttpVersion10,
-            arrived_at=self._last_active_at,
-        )
+    def _is_overdue(self, inactive_s: float, waited_s: float) -> bool:
+        """Return whether the next request takes too long to arrive."""
+        limits = self.server.limits
+        if self._receiver.is_reading_head:
+            return inactive_s > limits.head_s
+        return inactive_s > limits.idle_s
 
-    async def _run(self) -> None:
+    def _has_stopped(self, inactive_s: float, waited_s: float) -> bool:
+        """Return whether the client has stopped in the middle of a request."""
+        if self._paused:
+            return inactive_s > WRITE_TIMEOUT_S
+        limits = self.server.limits
+        is_too_slow = inactive_s > limits.idle_s or waited_s > limits.body_s
+        return is_too_slow and self._awaits_body
+
+    @property
+    def _awaits_body(self) -> bool:
+        """Return whether the request in progress waits for its body."""
+        body = self._receiver.body
+        return body is not None and body.is_awaited
+
+    def _read_on(self, transport: asyncio.Transport) -> None:
+        if self._reading_paused:
+            self._reading_paused = False
+            self.server.departures.remove(self)
+            transport.resume_reading()
+
+    def _recount(self) -> None:
+        """Count what this link holds, besides the request in progress."""
+        if self.transport is not None:
+            unwritten_bytes = self.transport.get_write_buffer_size()
+            self._account.count(
+                LINK_BYTES + self._receiver.held_bytes + unwritten_bytes
+            )
+
+    async def _run(self, request: Request) -> None:
         try:
-            while self._requests:
-                with self.server.limits.memory.counting():
-                    await self._serve(self._requests.popleft())
+            with self.server.limits.memory.counting() as held:
+                self._held = held
+                await self._serve(request, held)
         finally:
-            self._task = None
+            self._finish()
 
-    async def _serve(self, request: Request) -> None:
+    def _finish(self) -> None:
+        """Go on with the next request, if the client has sent it already."""
+        self._task = None
+        self._held = None
+        if self.transport is None or self._is_ending:
+            return
+        now = time.monotonic()
+        self._account.last_active_at = now
+        self._account.begin_wait(now)
+        self.server.links.renew(self)
+        self._receiver.finish()
+        self._pipelined = self._pipelined + 1 if self._receiver.has_more else 0
+        self._receiver.go_on()
+
+    async def _serve(self, request: Request, held: HeldBytes) -> None:
         try:
             await self.server.handler(request)
         except Exception:
@@ -308,16 +335,14 @@
         if not request.is_answered:
             self.abort()
             return
-        if request.reader is not EMPTY_PAYLOAD:
+        self._recount()
+        if not request.reader.at_eof():
             await self._discard(request)
         if self._paused:
-            # An answer counts as held until the client has read most of it.
             with suppress(ConnectionError):
                 await self.drain()
-        if not request.is_keep_alive and self.transport is not None:
-            # Requests behind the last answer of a connection must not run.
-            self._requests.clear()
-            self.transport.close()
+        if not request.is_keep_alive:
+            self._end()
 
     def _answer_failed(self, request: Request) -> None:
         """Answer that it is unknown whether a request ran, and close."""
@@ -343,39 +368,21 @@
         if remaining <= 0:
             request.is_keep_alive = False
 
-    def _refuse_malformed(self, error: HttpProcessingError) -> None:
-        self._is_unusable = True
-        _log.info('request_malformed', error=type(error).__name__)
-        if self._task is not None:
-            self._task.cancel()
-            self.abort()
-            return
-        status = error.code if error.code in {400, 413, 431} else 400
-        lines = (b'Content-Length: 0\r\n',)
-        self.write(encode_head(status, lines, b'Connection: close\r\n\r\n'))
-        if self.transport is not None:
-            self.transport.close()
-
-
-@asynccontextmanager
-async def serving(
-    host: str, port: int, handler: Handler, limits: Limits | None = None
-) -> AsyncIterator[Server]:
-    """Listen on an address; abort its links on exit.
+    def _end(self) -> None:
+        """Close after the last answer; let the client read it first.
 
-    Port 0 selects a free port; `Server.port` holds it.
-    """
-    server = Server(handler, limits or Limits())
-    await server.listen(host, port)
-    sweeper = server.loop.create_task(_sweep(server))
-    try:
-        yield server
-    finally:
-        sweeper.cancel()
-        server.abort()
-
-
-async def _sweep(server: Server) -> None:
-    while True:
-        await asyncio.sleep(SWEEP_INTERVAL_S)
-        server.sweep(time.monotonic())
+        Requests behind the last answer of a connection must not run.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        has_more = self._receiver.has_more or self._receiver.is_in_body
+        if not has_more:
+            transport.close()
+            return
+        self._is_ending = True
+        self._receiver.drop_rest()
+        self._account.begin_wait(time.monotonic())
+        self._read_on(transport)
+        transport.write_eof()
+        self._recount()
--- a/packages/exchange/src/dragonflyknot/exchange/serverrequest.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverrequest.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING, Final
 
 import structlog
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.streams import EMPTY_PAYLOAD
 
-from dragonflyknot.exchange import bodymemory, links
+from dragonflyknot.exchange import clientmemory, links
 from dragonflyknot.exchange.outcomes import Answered
 
 if TYPE_CHECKING:
@@ -31,18 +31,19 @@
 
     `lines` are the header lines as received, `head` indexes them by name, and
     `reader` yields the body. `arrived_at` is in seconds of the monotonic
-    clock.
+    clock. `takes_chunks` tells that the client knows chunked bodies.
     """
 
     method: str
     target: bytes
     lines: links.RawHeaders
     head: links.HeaderIndex
-    reader: StreamReader
+    reader: links.BodySource
     link: 'ServerLink'
     is_keep_alive: bool
     arrived_at: float
     is_answered: bool = False
+    takes_chunks: bool = True
 
     @property
     def task(self) -> 'asyncio.Task[None]':
@@ -55,7 +56,7 @@
     @property
     def has_room(self) -> bool:
         """Tell whether the process may hold more bytes of bodies."""
-        return not self.link.server.limits.memory.is_full
+        return self.link.server.limits.memory.has_room()
 
     async def body(self) -> links.Body:
         """Return the body.
@@ -68,7 +69,7 @@
         self.link.send_continue(self)
         body = await links.buffer_body(self.reader)
         if isinstance(body, links.StreamedBody) and not self.has_room:
-            bodymemory.release()
+            clientmemory.release()
             raise links.NoRoomForBody
         return body
 
@@ -98,18 +99,25 @@
     ) -> None:
         """Write a response while its body arrives.
 
-        `length` is in bytes; the body is chunked if it is None. The
-        connection is aborted if the body fails.
+        `length` is in bytes; if it is None, the body is chunked, or ends with
+        the connection where the client knows no chunks. The connection is
+        aborted if the body fails.
         """
-        framing = b'Transfer-Encoding: chunked\r\n\r\n'
+        is_chunked = length is None
         if length is not None:
             framing = b'Content-Length: %d\r\n\r\n' % length
+        elif is_chunked:
+            framing = b'Transfer-Encoding: chunked\r\n\r\n'
+        else:
+            framing = links.CRLF
+            self.is_keep_alive = False
+            self.link.ends_body_by_close = True
         self.is_answered = True
         self.link.write(
             encode_head(status, lines, self._connection_line()) + framing
         )
         try:
-            await self._copy(body, is_chunked=length is None)
+            await self._copy(body, is_chunked=is_chunked)
         except Exception as error:
             _log.info('response_aborted', error=type(error).__name__)
             self.link.abort()
--- a/tests/platform/test_body_memory.py
+++ b/tests/platform/test_body_memory.py
@@ -6,7 +6,7 @@
 import testtools
 
 from asyncrun import run_async
-from dragonflyknot.exchange import bodymemory, links
+from dragonflyknot.exchange import clientmemory, links
 from fakeupstream import Seen, whole
 from sitefleet import SiteFleet
 
@@ -14,7 +14,7 @@
 # What one request may hold beyond the limit, as it was let in below it.
 MAX_REQUEST_BYTES = (
     links.MAX_BUFFERED_BODY_BYTES
-    + bodymemory.READ_AHEAD_BYTES
+    + clientmemory.READ_AHEAD_BYTES
     + 2 * links.READ_LIMIT_BYTES
     + 256 * 1024
 )
@@ -33,7 +33,7 @@
         """Refuse as not run, and serve again when the clients have left."""
 
         async def body() -> None:
-            async with SiteFleet(1, max_body_memory_bytes=LIMIT_BYTES) as fleet:
+            async with SiteFleet(1, client_memory_bytes=LIMIT_BYTES) as fleet:
                 memory = fleet.hosts[0].memory
                 async with AsyncExitStack() as stack:
                     clients = [
@@ -63,7 +63,7 @@
         """Refuse beyond the limit; serve again when the clients have left."""
 
         async def body() -> None:
-            async with SiteFleet(1, max_body_memory_bytes=LIMIT_BYTES) as fleet:
+            async with SiteFleet(1, client_memory_bytes=LIMIT_BYTES) as fleet:
                 fleet.upstreams[0].script = _answer_long
                 memory = fleet.hosts[0].memory
                 async with AsyncExitStack() as stack:
--- a/tests/platform/test_broken_uploads.py
+++ b/tests/platform/test_broken_uploads.py
@@ -7,7 +7,7 @@
 
 from asyncrun import run_async
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.exchange.serverlink import serving
+from dragonflyknot.exchange.listener import serving
 from dragonflyknot.exchange.serverrequest import Request
 from sitefleet import SiteFleet
 
--- a/tests/platform/test_link_pool.py
+++ b/tests/platform/test_link_pool.py
@@ -6,7 +6,7 @@
 from dragonflyknot.exchange import clientlink
 from dragonflyknot.exchange.clientlink import ClientLink, LinkLost
 from dragonflyknot.exchange.linkpool import LinkPool
-from dragonflyknot.exchange.serverlink import serving
+from dragonflyknot.exchange.listener import serving
 from dragonflyknot.exchange.serverrequest import Request
 
 _REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -8,7 +8,7 @@
 import testtools
 
 from asyncrun import run_async
-from dragonflyknot.exchange.serverlink import serving
+from dragonflyknot.exchange.listener import serving
 from dragonflyknot.exchange.serverrequest import Request
 from dragonflyknot.peers import sitewire
 from fakeupstream import Seen, whole
--- a/tests/platform/test_stop_crossings.py
+++ b/tests/platform/test_stop_crossings.py
@@ -10,7 +10,7 @@
 import testtools
 
 from asyncrun import run_async
-from dragonflyknot.exchange.serverlink import serving
+from dragonflyknot.exchange.listener import serving
 from dragonflyknot.exchange.serverrequest import Request
 from fakeupstream import Seen, whole
 from sitefleet import SiteFleet
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -9,7 +9,7 @@
 from adapter.storeclient import StoreClient
 from asyncrun import run_async
 from dragonflyknot.exchange.jsonfields import MAX_JSON_BYTES
-from dragonflyknot.exchange.serverlink import serving
+from dragonflyknot.exchange.listener import serving
 from dragonflyknot.exchange.serverrequest import Request
 from dragonflyknot.stores.rowstore import (
     HistoryLost,
--- a/tests/rowstandin.py
+++ b/tests/rowstandin.py
@@ -15,7 +15,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from dragonflyknot.exchange.serverlink import ServerLink, serving
+from dragonflyknot.exchange.listener import serving
+from dragonflyknot.exchange.serverlink import ServerLink
 from dragonflyknot.exchange.serverrequest import Request
 
 EPOCH_HEADER = 'Store-Era'
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -14,7 +14,7 @@
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.upstreamstate import Heartbeat
-from dragonflyknot.exchange.bodymemory import DEFAULT_LIMIT_BYTES
+from dragonflyknot.exchange.clientmemory import DEFAULT_LIMIT_BYTES
 from dragonflyknot.stores.rowstore import RowName
 from fakeupstream import FakeUpstream
 from harness.addresses import free_port
@@ -76,10 +76,10 @@
     """Run daemons of one service, each with its upstream."""
 
     def __init__(
-        self, size: int, *, max_body_memory_bytes: int = DEFAULT_LIMIT_BYTES
+        self, size: int, *, client_memory_bytes: int = DEFAULT_LIMIT_BYTES
     ) -> None:
         """Prepare a site of so many hosts."""
-        self.max_body_memory_bytes = max_body_memory_bytes
+        self.client_memory_bytes = client_memory_bytes
         self.store = RowStandIn()
         self.upstreams = [FakeUpstream(f'i-{n}') for n in range(size)]
         self.settings: list[SiteSettings] = []
@@ -99,7 +99,7 @@
             await self.stack.enter_async_context(upstream.listening(port))
             settings = replace(
                 _settings(number, port),
-                max_body_memory_bytes=self.max_body_memory_bytes,
+                client_memory_bytes=self.client_memory_bytes,
             )
             self.settings.append(settings)
             await self.start(number)
--- a/tests/unit/test_endless_messages.py
+++ b/tests/unit/test_endless_messages.py
@@ -14,7 +14,7 @@
 from asyncrun import run_async
 from dragonflyknot.exchange import clientlink, links, serverlink
 from dragonflyknot.exchange.clientlink import ClientLink
-from dragonflyknot.exchange.serverlink import serving
+from dragonflyknot.exchange.listener import serving
 from dragonflyknot.exchange.serverrequest import Request
 from dragonflyknot.exchange.sessions import relay_session
 
