Bound what the kernel holds for a connection

What callers saw: 200 clients that ask for long answers and read none grew a process by most of a gigabyte, nearly all of it in the kernel, where it counts for the machine.

Cause: the system's own buffers grow to megabytes a connection in either direction, and no setting bounded them. Now a listener's connections get 32 KB to receive (8 KB each beyond 256 connections) and 64 KB to send, and links to upstreams and peers 64 KB to receive. The last also bounds what one read brings before a slow client stops the reading.

--- a/packages/exchange/src/dragonflyknot/exchange/acceptor.py
+++ b/packages/exchange/src/dragonflyknot/exchange/acceptor.py
@@ -47,6 +47,8 @@
         """Accept connections on an address; port 0 selects a free one."""
         listening = socket.socket()
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _bound_buffer(listening, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        _bound_buffer(listening, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         listening.setblocking(False)
         try:
             listening.bind((host, port))
@@ -110,6 +112,10 @@
 
     def _open(self, connection: socket.socket) -> None:
         connection.setblocking(False)
+        if len(self._links) >= LINKS_WITH_LARGE_BUFFERS:
+            _bound_buffer(
+                connection, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES
+            )
         task = self._loop.create_task(
             self._loop.connect_accepted_socket(self._factory, connection)
         )
--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -114,6 +115,9 @@
         self.transport = cast(asyncio.Transport, transport)
         connection = transport.get_extra_info('socket')
         links.set_keepalive(connection, user_timeout_ms=self._silent_after_ms)
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
 
     def connection_lost(self, error: BaseException | None) -> None:
         """Fail the body in progress and wake the waiting request."""
