Time a request head from its first byte

What callers saw: clients that send a head byte by byte kept their connections, and the descriptors of the process, for ever.

Cause: the timeout of a head was that of an inactive connection, and each byte put it off. Now it runs from the first byte of the head.

--- a/packages/exchange/src/dragonflyknot/exchange/serverlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverlink.py
@@ -273,7 +273,7 @@
         """Return whether the next request takes too long to arrive."""
         limits = self.server.limits
         if self._receiver.is_reading_head:
-            return inactive_s > limits.head_s
+            return waited_s > limits.head_s
         return inactive_s > limits.idle_s
 
     def _has_stopped(self, inactive_s: float, waited_s: float) -> bool:
