Bound the framing of chunked bodies

What callers saw: connections that send the extension of a chunk, or leading zeros of its size, without end were read for ever; gigabytes passed through the event loop.

Cause: only content counted, and framing holds none.

--- a/packages/exchange/src/dragonflyknot/exchange/bodyreader.py
+++ b/packages/exchange/src/dragonflyknot/exchange/bodyreader.py
@@ -189,6 +189,7 @@
         self._content_bytes += len(content)
         self._framing_bytes += position - len(content)
         reader.feed(content)
+        self._check_framing()
         if self._is_in_trailers:
             position += self._skip_trailers(received[position:], reader)
         return position
@@ -245,4 +246,6 @@
                 reader.feed_eof()
                 return position
         self._trailer_bytes += position
+        if self._trailer_bytes + len(received) - position > MAX_TRAILER_BYTES:
+            raise MalformedBody
         return position
