Count all that is held for clients in one account

What callers saw: many chunked bodies that stop short of their end, and many unread answers, took far more memory than the limit of bodies allowed, and a process ended. In chunks of one byte they stopped the event loop as well.

Cause: only bodies that were buffered counted. Connections, heads, what is sent ahead, content that nobody has read yet and unwritten answers did not, and what a request had been let in with could grow on. Limits of one connection, times thousands of connections, bound nothing.

Now one account counts all of it, for all listeners. From 0.8 of its limit on, connections of stalled clients (2 s, less than 8 KB a second) are closed and then new requests refused as not run; at the limit the connection that has waited longest for its client is closed. One that waits for the process is never closed for room. The limit is 0.3 of the memory beyond 48 MB: 75 MB on a machine of 300 MB, as before. Links to upstreams read 32 KB ahead instead of 128.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -23,6 +23,8 @@
 SWITCHING_PROTOCOLS_STATUS: Final = 101
 # More interim responses to one request break the link.
 MAX_INTERIM_RESPONSES: Final = 16
+# Beyond twice this, a response that nobody reads stops the reading.
+READ_AHEAD_BYTES: Final = 16 * 1024
 # What one read may bring before a slow client stops the reading.
 RECEIVE_BUFFER_BYTES: Final = 64 * 1024
 # A link that carried so many requests that were not served is closed.
@@ -319,7 +321,7 @@
         return links.RESPONSE_PARSER(
             self,
             loop,
-            links.READ_LIMIT_BYTES,
+            READ_AHEAD_BYTES,
             max_line_size=links.READ_LIMIT_BYTES,
             max_headers=links.MAX_HEADERS,
             max_field_size=links.READ_LIMIT_BYTES,
--- a/packages/exchange/src/dragonflyknot/exchange/clientmemory.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientmemory.py
@@ -10,6 +10,7 @@
 left, the connection that has waited longest for its client is closed.
 """
 
+import time
 from contextvars import ContextVar, Token
 from typing import Final, Protocol
 
@@ -82,6 +83,8 @@
         Close connections if the sum is over the limit.
         """
         self.held_bytes += count
+        if count > 0 and self.held_bytes > self._limit_bytes:
+            self._close_until(self._limit_bytes, self._waiting())
 
     def has_room(self) -> bool:
         """Return whether another request may be taken.
@@ -90,6 +93,11 @@
         """
         if not self.is_full:
             return True
+        now = time.monotonic()
+        if now - self._room_made_at >= ROOM_INTERVAL_S:
+            self._room_made_at = now
+            stalled = [one for one in self._waiting() if is_stalled(one, now)]
+            self._close_until(self._refusing_bytes, stalled)
         return not self.is_full
 
     def counting(self) -> 'HeldBytes':
--- a/packages/exchange/src/dragonflyknot/exchange/linkaccount.py
+++ b/packages/exchange/src/dragonflyknot/exchange/linkaccount.py
@@ -35,6 +35,7 @@
         change = held_bytes - self.held_bytes
         if change:
             self.held_bytes = held_bytes
+            self._memory.change(change)
 
     def begin_wait(self, now: float) -> None:
         """Begin to wait for the next that the client sends or reads."""
--- a/packages/exchange/src/dragonflyknot/exchange/linkset.py
+++ b/packages/exchange/src/dragonflyknot/exchange/linkset.py
@@ -11,6 +11,8 @@
 CALLERS_SHARE: Final = 0.45
 PEERS_SHARE: Final = 0.25
 CONTROL_SHARE: Final = 0.03
+# What the kernel and the reads ahead hold for a connection beside the account.
+BYTES_A_LINK: Final = 64 * 1024
 _Link = TypeVar('_Link', bound=ClientLink)
 
 
@@ -18,25 +20,31 @@
 class LinkShares:
     """Divide the sockets of a process among the connections from others.
 
-    What is left is for connections to the upstream, peers and the store.
+    What is left is for connections to the upstream, peers and the store. The
+    memory for clients, in bytes, bounds the connections too.
     """
 
     max_sockets: int
+    memory_bytes: int
 
     @property
     def callers(self) -> int:
         """Return how many connections of callers may be open."""
-        return max(1, int(self.max_sockets * CALLERS_SHARE))
+        return self._share(CALLERS_SHARE)
 
     @property
     def peers(self) -> int:
         """Return how many connections from other hosts may be open."""
-        return max(1, int(self.max_sockets * PEERS_SHARE))
+        return self._share(PEERS_SHARE)
 
     @property
     def control(self) -> int:
         """Return how many connections any other listener may have open."""
-        return max(1, int(self.max_sockets * CONTROL_SHARE))
+        return self._share(CONTROL_SHARE)
+
+    def _share(self, share: float) -> int:
+        by_memory = self.memory_bytes // BYTES_A_LINK
+        return max(1, min(int(self.max_sockets * share), by_memory))
 
 
 class LinkSet(Generic[_Link]):
