Keep sockets for the upstream, peers and the store

What callers saw: 500 idle clients took the descriptors of a process; requests beside them waited for seconds, as there was none for the upstream.

Cause: nothing bounded the connections of a listener.

--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -185,6 +185,7 @@
         """Return the limits of a listener that serves no requests."""
         return Limits(
             body_s=CONTROL_BODY_S,
+            max_links=self.settings.links.control,
             memory=self.memory,
         )
 
@@ -222,11 +223,14 @@
             lambda: self.policy.version,
             self.policy.record_peer_version,
         )
-        self._caller_limits = Limits(memory=self.memory)
+        self._caller_limits = Limits(
+            max_links=settings.links.callers, memory=self.memory
+        )
         peers = Limits(
             head_bytes=PEER_HEAD_BYTES,
             body_s=PEER_BODY_S,
             idle_s=PEER_IDLE_S,
+            max_links=settings.links.peers,
             memory=self.memory,
         )
         self._peers_server = await _open(
--- a/packages/daemon/src/dragonflyknot/daemon/sitesettings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitesettings.py
@@ -9,6 +9,7 @@
 from dragonflyknot.decisions.siteretries import SiteRetryBound
 from dragonflyknot.exchange.clientmemory import DEFAULT_LIMIT_BYTES
 from dragonflyknot.exchange.dialect import Dialect
+from dragonflyknot.exchange.linkset import DEFAULT_MAX_SOCKETS, LinkShares
 from dragonflyknot.stores.rowstore import RowName, RowStore
 
 
@@ -18,7 +19,8 @@
 
     Callers leave a host within `callers_leave_s` after it stops being ready.
     A process must end within `grace_s` after it was told to stop.
-    What is held for clients may take `client_memory_bytes` in all.
+    What is held for clients may take `client_memory_bytes` in all. Connections
+    of all kinds, in and out, may take `max_sockets`.
     `is_first_start` tells that the whole site starts for the first time.
     """
 
@@ -36,8 +38,14 @@
     grace_s: float = 6.0
     retry_bound: SiteRetryBound = field(default_factory=SiteRetryBound)
     client_memory_bytes: int = DEFAULT_LIMIT_BYTES
+    max_sockets: int = DEFAULT_MAX_SOCKETS
     is_first_start: bool = False
 
+    @property
+    def links(self) -> LinkShares:
+        """Return how many connections each listener may have open."""
+        return LinkShares(self.max_sockets, self.client_memory_bytes)
+
 
 @dataclass(frozen=True, slots=True)
 class SitePlatform:
