See clients that leave while they are not read; end early answers

Cause: after an early answer the rest of the body was read to its end, without a limit of time, and what the request had counted stayed counted. The parser had paused the connection, so that neither the rest nor the client's leaving was ever seen.

Now the count is released when the answer is written, the rest is read for 2 s and 4 MB at most, and connections that are not read are asked of the system for a close, each 0.25 s. A close behind bytes that the client's system couldn't send is not seen; the request's timeout ends that.

--- a/packages/exchange/src/dragonflyknot/exchange/serverlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverlink.py
@@ -130,6 +130,7 @@
         elif not self._reading_paused:
             self._reading_paused = True
             transport.pause_reading()
+            self.server.departures.add(self)
 
     def refuse(self, error: Exception) -> None:
         """Refuse what cannot be parsed, and close."""
@@ -335,6 +336,8 @@
         if not request.is_answered:
             self.abort()
             return
+        # From here on the answer counts as unwritten bytes of the link.
+        held.release()
         self._recount()
         if not request.reader.at_eof():
             await self._discard(request)
@@ -360,8 +363,9 @@
         """
         remaining = MAX_DISCARDED_BYTES
         try:
-            while remaining > 0 and not request.reader.at_eof():
-                remaining -= len(await request.reader.readany())
+            async with asyncio.timeout(LINGER_S):
+                while remaining > 0 and not request.reader.at_eof():
+                    remaining -= len(await request.reader.readany())
         except Exception as error:
             _log.debug('request_body_incomplete', error=type(error).__name__)
             remaining = 0
