Own interface: bound what clients send, hold and open

Now its listeners check the framing before aiohttp sees it (the same head and body decoders), pass on one request at a time, count in the account, share the acceptor and the bounds of connections, and refuse as not run (`shed`) when the account is full. Its control channel (gRPC) is not covered.

--- a/packages/daemon/src/dragonflyknot/daemon/listeners.py
+++ b/packages/daemon/src/dragonflyknot/daemon/listeners.py
@@ -1,4 +1,4 @@
-"""Open the HTTP listeners of a daemon.
+"""Open the HTTP listeners of the project's own interface.
 
 The low-level server is used, without an application and its router, since
 every request goes to one handler. A handler is cancelled when its client
@@ -6,89 +6,93 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Final
 
-import structlog
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
 from dragonflyknot.daemon.settings import split_address
+from dragonflyknot.daemon.webhandler import Shared, WebHandler
 from dragonflyknot.decisions.refusals import Refusal
+from dragonflyknot.exchange.acceptor import Acceptor
+from dragonflyknot.exchange.clientmemory import ClientMemory
+from dragonflyknot.exchange.departures import DepartureWatch
+from dragonflyknot.exchange.linkset import LinkSet
+from dragonflyknot.exchange.parsequeue import ParseQueue
 from dragonflyknot.exchange.refusing import Refused, refusal_response
 
-if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
-KEEPALIVE_S = 75.0
-LINGER_S = 1.0
-BACKLOG_CONNECTIONS = 1024
-MAX_HEADER_BYTES = 16 * 1024
-_SERVER_ERROR = 500
-
-_log = structlog.get_logger(__name__)
+KEEPALIVE_S: Final = 75.0
+LINGER_S: Final = 1.0
+SWEEP_INTERVAL_S: Final = 1.0
+RETRY_AFTER_S: Final = 1.0
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 @asynccontextmanager
 async def listening(
-    address: str, handler: Handler
-) -> 'AsyncIterator[web.ServerRunner]':
-    """Serve a handler on an address (IP:port) until the context ends."""
-    server = _RefusingServer(
-        handler,
-        handler_cancellation=True,
-        keepalive_timeout=KEEPALIVE_S,
-        lingering_time=LINGER_S,
-        access_log=None,
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
+    address: str, handler: Handler, memory: ClientMemory, max_links: int
+) -> AsyncIterator[web.ServerRunner]:
+    """Serve a handler on an address (IP:port) until the context ends.
+
+    What the connections hold counts in `memory`; at most `max_links` are open.
+    """
+    loop = asyncio.get_running_loop()
+    shared = Shared(
+        LinkSet(max_links, memory),
+        memory,
+        ParseQueue(loop),
+        DepartureWatch(loop),
     )
+    server = _BoundedServer(_refusing_when_full(handler, memory), shared)
     runner = web.ServerRunner(server, handle_signals=False)
-    await runner.setup()
-    try:
-        await _start(runner, address)
+    acceptor = Acceptor(loop, server, shared.links)
+    async with AsyncExitStack() as stack:
+        stack.callback(shared.departures.close)
+        stack.push_async_callback(runner.cleanup)
+        await runner.setup()
+        stack.callback(acceptor.abort)
+        stack.callback(loop.create_task(_sweep(shared)).cancel)
+        acceptor.listen(*split_address(address))
         yield runner
-    finally:
-        await runner.cleanup()
-
-
-class _RefusingHandler(RequestHandler):
-    """Answer what the HTTP parser refuses as any other refusal."""
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Return the refusal of a bad request or of an internal error."""
-        if status < _SERVER_ERROR:
-            refused = Refused(Refusal.MALFORMED)
-        else:
-            _log.error('handler_failed', exc_info=exc)
-            refused = Refused(Refusal.UPSTREAM_BROKE)
-        response = refusal_response(refused, '', '')
-        response.force_close()
-        return response
-
-
-class _RefusingServer(web.Server):
-    """Make handlers that answer in the format of refusals."""
-
-    def __call__(self) -> RequestHandler:
+
+
+class _BoundedServer(web.Server):
+    """Make handlers that count what their connections hold."""
+
+    def __init__(self, handler: Handler, shared: Shared) -> None:
+        """Serve a handler on connections that share bounds."""
+        super().__init__(handler, handler_cancellation=True)
+        self._shared = shared
+
+    def __call__(self) -> WebHandler:
         """Return the handler of one new connection."""
-        return _RefusingHandler(
-            self, loop=asyncio.get_running_loop(), **self._kwargs
+        return WebHandler(
+            self,
+            asyncio.get_running_loop(),
+            self._shared,
+            keepalive_timeout=KEEPALIVE_S,
+            lingering_time=LINGER_S,
+            access_log=None,
         )
 
 
-async def _start(runner: web.ServerRunner, address: str) -> None:
-    number, port = split_address(address)
-    site = web.TCPSite(
-        runner, number, port, backlog=BACKLOG_CONNECTIONS, reuse_address=True
-    )
-    await site.start()
+def _refusing_when_full(handler: Handler, memory: ClientMemory) -> Handler:
+    """Return a handler that refuses while the process holds too much."""
+
+    async def serve(request: web.BaseRequest) -> web.StreamResponse:
+        if memory.has_room():
+            return await handler(request)
+        return refusal_response(Refused(Refusal.SHED, RETRY_AFTER_S), '', '')
+
+    return serve
+
+
+async def _sweep(shared: Shared) -> None:
+    while True:
+        await asyncio.sleep(SWEEP_INTERVAL_S)
+        now = time.monotonic()
+        for link in shared.links:
+            link.close_if_timed_out(now)
--- a/packages/daemon/src/dragonflyknot/daemon/options.py
+++ b/packages/daemon/src/dragonflyknot/daemon/options.py
@@ -53,6 +53,8 @@
     Option('access-key', 'Access key of the platform', ''),
     Option('secret-key', 'Secret key of the platform', ''),
     Option('statsd', 'IP:port of statsd; empty for none', ''),
+    Option('client-memory-mb', 'Most memory held for clients, in MB', '64'),
+    Option('max-sockets', 'Most connections, in and out', '3900'),
     Option('drain-seconds', 'Longest wait for requests at a stop', '60'),
     Option('log-level', 'debug, info, warning or error', 'info'),
 )
--- a/packages/daemon/src/dragonflyknot/daemon/runtime.py
+++ b/packages/daemon/src/dragonflyknot/daemon/runtime.py
@@ -31,6 +31,8 @@
 from dragonflyknot.decisions.members import Member, OwnChanged, Standing
 from dragonflyknot.decisions.retry import RetryBudget
 from dragonflyknot.decisions.routing import Router
+from dragonflyknot.exchange.clientmemory import ClientMemory
+from dragonflyknot.exchange.linkset import LinkShares
 from dragonflyknot.exchange.sessions import relay_session
 from dragonflyknot.exchange.tally import Tally
 from dragonflyknot.peers.directory import Directory
@@ -52,6 +54,7 @@
 HOUSEKEEPING_S = 0.5
 COLLECT_AFTER_OBJECTS = 20_000
 MS_PER_SECOND = 1000
+MB_BYTES = 1024 * 1024
 NS_PER_MS = 1_000_000
 
 _log = structlog.get_logger(__name__)
@@ -227,15 +230,18 @@
             self.edge,
             self._upstream_changed,
         )
-        handlers_by_address = {
-            settings.operators_listen: Status(self).serve,
-            settings.requests_listen: Receiver(self.gate, secret).serve,
-            settings.upstream_listen: upstream.serve,
-            settings.callers_listen: self.edge.serve_caller,
-        }
-        for address, handler in handlers_by_address.items():
+        memory_bytes = settings.client_memory_mb * MB_BYTES
+        memory = ClientMemory(memory_bytes)
+        peers = Receiver(self.gate, secret)
+        links = LinkShares(settings.max_sockets, memory_bytes)
+        for address, handler, max_links in (
+            (settings.operators_listen, Status(self).serve, links.control),
+            (settings.requests_listen, peers.serve, links.peers),
+            (settings.upstream_listen, upstream.serve, links.control),
+            (settings.callers_listen, self.edge.serve_caller, links.callers),
+        ):
             await stack.enter_async_context(
-                listeners.listening(address, handler)
+                listeners.listening(address, handler, memory, max_links)
             )
         await stack.enter_async_context(
             Metrics(settings.statsd, self.tally, self._gauges)
--- a/packages/daemon/src/dragonflyknot/daemon/settings.py
+++ b/packages/daemon/src/dragonflyknot/daemon/settings.py
@@ -51,6 +51,8 @@
 _Address = Annotated[str, AfterValidator(_address)]
 _OptionalAddress = Annotated[str, AfterValidator(_optional_address)]
 _Secret = Annotated[SecretStr, AfterValidator(_long_secret)]
+_ClientMemoryMb = Annotated[int, Field(ge=1, le=1_000_000)]
+_MaxSockets = Annotated[int, Field(ge=64, le=1_000_000)]
 _DrainSeconds = Annotated[float, Field(gt=0, le=3600)]
 
 
@@ -82,6 +84,8 @@
     access_key: SecretStr
     secret_key: SecretStr
     statsd: _OptionalAddress
+    client_memory_mb: _ClientMemoryMb
+    max_sockets: _MaxSockets
     drain_seconds: _DrainSeconds
     log_level: Literal['debug', 'info', 'warning', 'error']
 
