Take an answer with an impossible status as broken

Cause: the parser takes any three digits and more; only words and statuses below 200 ended as a failure. Now a status outside of 100 to 599 breaks the link to the upstream or peer, on both interfaces, and the caller gets a failure of the daemon.

--- a/packages/exchange/src/dragonflyknot/exchange/clientlink.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientlink.py
@@ -251,6 +251,9 @@
             ):
                 self._fail(None)
                 return
+            if not FIRST_STATUS <= message.code <= LAST_STATUS:
+                self._fail(None)
+                return
             if message.code < FIRST_FINAL_STATUS:
                 self._skip_interim(message.code)
                 continue
--- a/packages/exchange/src/dragonflyknot/exchange/relaying.py
+++ b/packages/exchange/src/dragonflyknot/exchange/relaying.py
@@ -34,6 +34,8 @@
     head: CIMultiDict[str],
 ) -> web.StreamResponse:
     """Relay a response. Raise BrokenAnswer unless all of it was relayed."""
+    if not FIRST_STATUS <= source.status <= LAST_STATUS:
+        raise BrokenAnswer(was_begun=False)
     if _has_no_body(source, request):
         return await _relay_head(source, request, head)
     length = _length(source)
