End a body without a length by the close for HTTP/1.0

What callers saw (MIXED): a client that speaks HTTP/1.0 got chunks, which it doesn't know, as its body.

Cause: an answer whose length is unknown was always chunked. Now such a client gets the content as it is, and the connection ends it; where the answer is cut, the connection is reset, as a close would make the part look whole.

Evidence: test_early_answers.

--- a/packages/exchange/src/dragonflyknot/exchange/serverrequest.py
+++ b/packages/exchange/src/dragonflyknot/exchange/serverrequest.py
@@ -103,7 +103,7 @@
         the connection where the client knows no chunks. The connection is
         aborted if the body fails.
         """
-        is_chunked = length is None
+        is_chunked = length is None and self.takes_chunks
         if length is not None:
             framing = b'Content-Length: %d\r\n\r\n' % length
         elif is_chunked:
