Pass over idle connections when the account is full

What callers would see: their idle connections closed first when crowds fill the account, though each holds a few kilobytes and has waited longest.

They are now: a connection is closed for room only if it holds more than 16 KB. Those that hold less can't fill the account, as there is at most one for each 64 KB of it. A request exactly at the mark was refused without a look at stalled clients.

--- a/packages/exchange/src/dragonflyknot/exchange/clientmemory.py
+++ b/packages/exchange/src/dragonflyknot/exchange/clientmemory.py
@@ -7,7 +7,8 @@
 is written.
 
 When little is left, new requests are refused before they run. When nothing is
-left, the connection that has waited longest for its client is closed.
+left, the connection that has waited longest for its client is closed, of those
+that hold more than an idle one does.
 """
 
 import time
@@ -26,6 +27,8 @@
 STALLED_AFTER_S: Final = 2.0
 MIN_BYTES_PER_S: Final = 8 * 1024
 ROOM_INTERVAL_S: Final = 0.1
+# To close a connection that holds no more than this would hardly make room.
+IDLE_LINK_BYTES: Final = 16 * 1024
 
 
 class ClientLink(Protocol):
@@ -66,7 +69,7 @@
     @property
     def is_full(self) -> bool:
         """Tell whether no more requests may be taken."""
-        return self.held_bytes >= self._refusing_bytes
+        return self.held_bytes > self._refusing_bytes
 
     def join(self, link: ClientLink) -> None:
         """Let a connection take part."""
@@ -105,11 +108,12 @@
         return HeldBytes(self)
 
     def _waiting(self) -> list[ClientLink]:
-        """Return the connections that wait for clients, longest wait first."""
+        """Return the connections that can make room, longest wait first."""
         waiting = [
             (since, one)
             for one in self._links
             if (since := one.waiting_since) is not None
+            and one.held_bytes > IDLE_LINK_BYTES
             and one not in self._closing_bytes_by_link
         ]
         waiting.sort(key=lambda pair: pair[0])
