--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -26,11 +26,8 @@
 from dragonflyknot.decisions.siteconfig import SiteConfiguration
 from dragonflyknot.decisions.siteretries import SiteRetryBudget
 from dragonflyknot.decisions.throttle import Throttle
-from dragonflyknot.decisions.upstreamstate import (
-    Heartbeat,
-    LeaveMessage,
-    UpstreamRegister,
-)
+from dragonflyknot.decisions.upstreammessages import Heartbeat, LeaveMessage
+from dragonflyknot.decisions.upstreamstate import UpstreamRegister
 from dragonflyknot.exchange.clientmemory import ClientMemory
 from dragonflyknot.exchange.listener import (
     Handler,
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -8,7 +8,7 @@
 from asyncrun import run_async
 from dragonflyknot.daemon.sitehost import SiteHost
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.upstreamstate import LeaveMessage
+from dragonflyknot.decisions.upstreammessages import LeaveMessage
 from fakeupstream import Seen, whole
 from sitefleet import SiteFleet
 
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -13,7 +13,7 @@
 from dragonflyknot.daemon.sitehost import SiteHost
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.upstreamstate import Heartbeat
+from dragonflyknot.decisions.upstreammessages import Heartbeat
 from dragonflyknot.exchange.clientmemory import DEFAULT_LIMIT_BYTES
 from dragonflyknot.stores.rowstore import RowName
 from fakeupstream import FakeUpstream
--- a/tests/unit/test_cancelled_waiters.py
+++ b/tests/unit/test_cancelled_waiters.py
@@ -21,7 +21,8 @@
 from dragonflyknot.decisions import admission
 from dragonflyknot.decisions.calls import Attempt, Call, UpstreamState
 from dragonflyknot.decisions.document import Service
-from dragonflyknot.decisions.upstreamstate import Heartbeat, UpstreamRegister
+from dragonflyknot.decisions.upstreammessages import Heartbeat
+from dragonflyknot.decisions.upstreamstate import UpstreamRegister
 from dragonflyknot.exchange.hopheaders import Hop
 from dragonflyknot.exchange.outcomes import OutgoingRequest
 from dragonflyknot.stores.embedded import EmbeddedTable
--- a/tests/unit/test_many_small_hosts.py
+++ b/tests/unit/test_many_small_hosts.py
@@ -29,7 +29,8 @@
 )
 from dragonflyknot.decisions.siteretries import SiteRetryBound, SiteRetryBudget
 from dragonflyknot.decisions.throttle import Throttle
-from dragonflyknot.decisions.upstreamstate import Heartbeat, UpstreamRegister
+from dragonflyknot.decisions.upstreammessages import Heartbeat
+from dragonflyknot.decisions.upstreamstate import UpstreamRegister
 from dragonflyknot.exchange.hopheaders import Hop
 from dragonflyknot.exchange.outcomes import Answered, Outcome, OutgoingRequest
 from dragonflyknot.exchange.serverrequest import Request
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -14,7 +14,7 @@
     SiteView,
     Stamps,
 )
-from dragonflyknot.decisions.upstreamstate import MAX_BORN_MS
+from dragonflyknot.decisions.upstreammessages import MAX_BORN_MS
 from dragonflyknot.peers import sitewire
 from hostilejson import NESTED, strange_texts
 
--- a/tests/unit/test_upstream_state.py
+++ b/tests/unit/test_upstream_state.py
@@ -3,12 +3,8 @@
 import testtools
 
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.upstreamstate import (
-    Heartbeat,
-    LeaveMessage,
-    Upstream,
-    UpstreamRegister,
-)
+from dragonflyknot.decisions.upstreammessages import Heartbeat, LeaveMessage
+from dragonflyknot.decisions.upstreamstate import Upstream, UpstreamRegister
 
 READY = UpstreamState.READY
 DRAINING = UpstreamState.DRAINING
