Refuse deregistrations with an id that no row can hold

A host whose upstream deregistered under an id with control characters, or of more than 256, stored that id in its row. Nobody could decode the row, so the next process and the peers lost all that it said, the leaving first.

Cause: the id of a heartbeat was checked and that of a deregistration was not.

Evidence: test_deregistrations_with_an_odd_id fails on the code before (the id is taken).

The decoder returns a result, so three checks of test_decoding unwrap it; what they check is the same.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -14,6 +14,7 @@
 from adapter.settings import read_settings
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.siteconfig import SiteRoute
+from dragonflyknot.decisions.upstreammessages import LeaveMessage
 from hostilejson import NESTED, strange_texts
 
 SETTINGS = """
@@ -279,16 +280,26 @@
 
     def test_deregistrations(self) -> None:
         """Decode the start time if it is sent."""
-        self.assertEqual(7, decode_deregistration('i', b'{"born":7}').born)
+        self.assertEqual(7, _leaving(b'{"born":7}').born)
         for malformed in (b'', NESTED, b'{"born":1e400}', b'{"born":true}'):
-            self.assertEqual(0, decode_deregistration('i', malformed).born)
+            self.assertEqual(0, _leaving(malformed).born)
+
+    # Guards against an id that spoils the row of its host for good.
+    def test_deregistrations_with_an_odd_id(self) -> None:
+        """Refuse an id that no row or header can hold."""
+        for instance in ('i\r\nKey: x', 'i' * 257, '\ud800'):
+            self.assertTrue(decode_deregistration(instance, b'').is_err())
 
     @settings(derandomize=True, deadline=None, database=None)
     @given(strange_texts(HEARTBEAT, HEARTBEAT.values()))
     def test_any_bytes(self, content: bytes) -> None:
         """Decode any bytes, or return an error message."""
         self.assertIsInstance(decode_heartbeat('i', content), (Ok, Err))
-        self.assertEqual('i', decode_deregistration('i', content).instance)
+        self.assertEqual('i', _leaving(content).instance)
+
+
+def _leaving(content: bytes) -> LeaveMessage:
+    return decode_deregistration('i', content).unwrap()
 
 
 def _decoded_fields(route: SiteRoute) -> tuple[bool, float, int]:
