Keep a leaving whose message names no start

What callers saw: an upstream left by a deregistration before its daemon had heard of it, and went on serving.

Cause: a leaving was a state of the upstream that a later start replaces, and the start of a deregistration, which has no body on the users' platform, was read as 0. So the late heartbeat of the start that had left was one of a later start; in the next process too, as the row said 0. Where another instance was known, nothing of the leaving was stored at all, and where an earlier start of the id was known, that one was taken for the one that left.

Now a leaving is a fact that the entry of a host carries (decisions/departures) and the store holds before it is acknowledged, whichever instance was known. A start that may be the one that left is used once two of three signs say that it is new (decisions/startevidence); NewStartTest guards that it is. No single clock, heartbeat or health check decides. A drain is final for its start: test_ready_after_a_drain fails before.

--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import random
+import time
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from typing import Final
 
 import structlog
@@ -89,6 +91,7 @@
             self._knows_earlier.set()
         self._callers_server: Server
         self._peers_server: Server
+        self._tasks = Tasks()
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> 'SiteHost':
@@ -99,7 +102,7 @@
             self.policy.subscribe(self._configured)
             self.members.subscribe(self._members_changed)
             await self._listen(stack)
-            tasks = await stack.enter_async_context(Tasks())
+            tasks = await stack.enter_async_context(self._tasks)
             for work in (
                 self.policy.run(),
                 self.members.run(),
@@ -139,11 +142,12 @@
 
     async def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Apply a heartbeat; return whether it may be acknowledged."""
+        heartbeat = replace(heartbeat, received_at=time.monotonic())
         try:
             async with asyncio.timeout(MAX_ACK_S):
                 await self._knows_earlier.wait()
                 self._apply_heartbeat(heartbeat)
-                await self._leaving_stored()
+                await self._leaving_kept(heartbeat)
         except TimeoutError:
             _log.info('heartbeat_not_stored', instance=heartbeat.instance)
             return False
@@ -151,11 +155,12 @@
 
     async def handle_deregistration(self, leaving: LeaveMessage) -> bool:
         """Apply a leave message; return whether it may be acknowledged."""
+        leaving = replace(leaving, received_ms=_unix_ms())
         try:
             async with asyncio.timeout(MAX_ACK_S):
                 await self._knows_earlier.wait()
                 self._apply_leave(leaving)
-                await self._upstream_stored()
+                await self._upstream_kept()
         except TimeoutError:
             _log.warning('leaving_not_stored', instance=leaving.instance)
             return False
@@ -289,6 +294,28 @@
                 slots=heartbeat.slots,
             )
             self._announce_upstream()
+        elif self.register.start_in_question is heartbeat:
+            self._log_question(heartbeat)
+            self._tasks.start(self._check_start(heartbeat))
+
+    def _log_question(self, heartbeat: Heartbeat) -> None:
+        _log.info(
+            'start_in_question',
+            instance=heartbeat.instance,
+            born=heartbeat.born,
+            sequence=heartbeat.sequence,
+            signs=self.register.signs_of_new_start(),
+        )
+
+    async def _check_start(self, heartbeat: Heartbeat) -> None:
+        """Ask an upstream that may have left whether it is in service."""
+        path = self._health_path()
+        if path is None:
+            return
+        instance = await self.gate.check_health(path)
+        if self.register.apply_health_check(heartbeat, instance):
+            _log.info('start_confirmed', instance=heartbeat.instance)
+            self._announce_upstream()
 
     def _apply_leave(self, leaving: LeaveMessage) -> None:
         if self.register.apply_leave(leaving):
@@ -299,40 +326,46 @@
 
     def _announce_upstream(self) -> None:
         self.gate.apply_announcement()
-        upstream = self.register.current
-        if upstream is not None:
-            self.members.announce(upstream)
+        register = self.register
+        self.members.announce(register.current, register.departures)
 
-    async def _leaving_stored(self) -> None:
-        """Wait until the store holds that the upstream leaves, if it does.
+    async def _leaving_kept(self, heartbeat: Heartbeat) -> None:
+        """Wait until it is kept that an upstream leaves, if one does.
 
         The next process of this host learns it from there.
         """
         upstream = self.register.current
-        if upstream is not None and upstream.state is not UpstreamState.READY:
-            await self._upstream_stored()
-
-    async def _upstream_stored(self) -> None:
-        """Wait until the store holds the state of the upstream."""
-        upstream = self.register.current
-        if upstream is not None:
-            self.members.announce(upstream)
-            await self.members.stored()
+        is_leaving = upstream is not None and not upstream.is_ready
+        if is_leaving or heartbeat.state is not UpstreamState.READY:
+            await self._upstream_kept()
+
+    async def _upstream_kept(self) -> None:
+        """Wait until the state of the upstream and departures are kept."""
+        register = self.register
+        self.members.announce(register.current, register.departures)
+        await self.members.kept()
+
+    def _health_path(self) -> str | None:
+        configuration = self.policy.configuration
+        if configuration is None:
+            return None
+        services = configuration.services_by_name
+        service = services.get(self.settings.service)
+        return None if service is None else service.health_path
 
     async def _restore(self) -> None:
         """Learn what an earlier process knew; use its upstream again."""
         known = await self.members.restored()
+        self.register.learn(self.members.departures)
         if known is not None:
             self.register.record_earlier(known)
             self.gate.apply_announcement()
         self._knows_earlier.set()
-        configuration = await self.policy.first()
-        if known is None or self.register.current is not None:
-            return
-        service = configuration.services_by_name.get(self.settings.service)
-        if service is None:
+        await self.policy.first()
+        path = self._health_path()
+        if known is None or self.register.current is not None or path is None:
             return
-        instance = await self.gate.check_health(service.health_path)
+        instance = await self.gate.check_health(path)
         if instance == known.instance and self.register.restore(known):
             _log.info('upstream_restored', instance=instance)
             self.gate.apply_announcement()
@@ -343,6 +376,10 @@
             self.links.trim()
 
 
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
 async def _open(
     stack: AsyncExitStack, address: str, handler: Handler, limits: Limits
 ) -> Server:
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -15,6 +15,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Final
 
 import structlog
@@ -27,6 +28,7 @@
 from dragonflyknot.daemon.tasks import keep_running
 from dragonflyknot.decisions.balancer import Balancer
 from dragonflyknot.decisions.candidates import Place
+from dragonflyknot.decisions.departures import Departures
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView
 from dragonflyknot.decisions.upstreamstate import Upstream
 from dragonflyknot.peers import sitewire
@@ -172,10 +174,30 @@
             if not entry.is_gone
         ]
 
-    def announce(self, upstream: Upstream) -> None:
-        """Announce the own upstream to peers and in the store."""
+    def announce(
+        self, upstream: Upstream | None, departures: Departures
+    ) -> None:
+        """Announce the own upstream to peers and in the store.
+
+        Departures alone are announced if no upstream is in force.
+        """
+        entry = self._own_entry(upstream)
+        if entry is None:
+            return
+        entry = replace(entry, departures=departures)
+        if not self.view.adopt_own(entry):
+            self._news([self.view.publish(entry, _unix_ms())])
+            self._writer.write_again()
+            return
+        if self._is_own_row_stored():
+            self._writer.record_stored()
+        self._writer.write_soon()
+
+    def _own_entry(self, upstream: Upstream | None) -> SiteEntry | None:
+        if upstream is None:
+            return self.view.own
         settings = self._settings
-        entry = SiteEntry(
+        return SiteEntry(
             Place(
                 host=settings.host,
                 address=settings.peers_listen,
@@ -189,15 +211,14 @@
             upstream.born,
             sequence=upstream.sequence,
         )
-        if not self.view.adopt_own(entry):
-            self._news([self.view.publish(entry, _unix_ms())])
-            self._writer.write_again()
-            return
-        if self._is_own_row_stored():
-            self._writer.record_stored()
-        self._writer.write_soon()
 
-    async def stored(self) -> None:
+    @property
+    def departures(self) -> Departures:
+        """Return the departures of the upstreams of this host."""
+        own = self.view.own
+        return () if own is None else own.departures
+
+    async def kept(self) -> None:
         """Wait until the store holds what was announced last."""
         await self._writer.stored()
 
--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -23,6 +23,7 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Place
+from dragonflyknot.decisions.departures import Departures, union
 from dragonflyknot.decisions.hostorder import position_of
 
 DIGEST_DIGITS: Final = 16
@@ -41,8 +42,9 @@
 class SiteEntry:
     """Hold the entry that a host publishes about itself.
 
-    `born` is the start of the upstream instance in Unix milliseconds, and
-    `sequence` the number of the heartbeat that announced the state, or -1.
+    `born` is the start of the upstream instance in Unix milliseconds,
+    `sequence` the number of the heartbeat that announced the state, or -1, and
+    `departures` are those of all upstreams that the host has had.
     """
 
     place: Place
@@ -50,6 +52,7 @@
     born: int = 0
     stamp: int = 0
     sequence: int = -1
+    departures: Departures = ()
 
     @property
     def is_gone(self) -> bool:
@@ -144,7 +147,13 @@
         own = self.own
         if own is None:
             return False
-        if replace(entry, stamp=own.stamp, sequence=own.sequence) != own:
+        adopted = replace(
+            entry,
+            stamp=own.stamp,
+            sequence=own.sequence,
+            departures=union(own.departures, entry.departures),
+        )
+        if adopted != own:
             return False
         self.has_published = True
         return True
--- a/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
+++ b/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
@@ -2,22 +2,26 @@
 
 Announcements may be late, duplicated, from an earlier start of the upstream
 or from another writer. A later start supersedes an earlier one; within one
-start, the higher sequence number wins. After an upstream has left, no
-announcement of the same start revives it, even if the leave message was the
-first announcement that the daemon received.
+start, the higher sequence number wins.
+
+A leaving is final: no announcement of a start that drains or has left makes
+it ready again, whichever process, peer or row of the store knows of the
+leaving. The message may be the first one
+that the daemon received of an upstream, and may not name the start that
+leaves; `startevidence` then tells a new start from a late announcement.
 
 What an earlier process of the host knew counts like an announcement received
 before all others, since late ones may also arrive after a restart.
 """
 
-from dataclasses import dataclass
-from typing import Final
+from dataclasses import dataclass, replace
 
+from dragonflyknot.decisions import departures as departing
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.departures import Departure, Departures
+from dragonflyknot.decisions.startevidence import StartEvidence
 from dragonflyknot.decisions.upstreammessages import Heartbeat, LeaveMessage
 
-MAX_DEPARTURES: Final = 100
-
 
 @dataclass(frozen=True, slots=True)
 class Upstream:
@@ -32,22 +36,33 @@
     slots: int
     sequence: int = -1
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the upstream neither drains nor is gone."""
+        return self.state is UpstreamState.READY
+
 
 class UpstreamRegister:
     """Track the announcements of the one upstream of a host.
 
     `current` is the upstream in force, None if none has announced itself to
-    this process.
+    this process. `departures` are those of all upstreams of the host.
     """
 
     def __init__(self, service: str, address: str) -> None:
         """Start without an upstream; accept only this service and address."""
         self._service = service
         self._address = address
-        self._departed_born_by_instance: dict[str, int] = {}
         self._newest: Upstream | None = None
+        self._evidence = StartEvidence()
+        self.departures: Departures = ()
         self.current: Upstream | None = None
 
+    @property
+    def start_in_question(self) -> Heartbeat | None:
+        """Return the heartbeat of a start that may have left, if any."""
+        return self._evidence.newest
+
     def serves(self, service: str) -> bool:
         """Tell whether the upstream serves a service."""
         return service == self._service
@@ -62,30 +77,92 @@
         if self._newest is not None:
             return
         self._newest = upstream
-        if upstream.state is not UpstreamState.READY:
+        if not upstream.is_ready:
+            self._record(Departure(upstream.instance, upstream.born))
             self.current = upstream
 
     def restore(self, upstream: Upstream) -> bool:
-        """Restore a stored state unless an announcement came first.
+        """Restore a stored state that a health check has confirmed.
 
-        Return whether the state was restored.
+        Return whether it was restored: not if an announcement came first, or
+        if the upstream may have left.
         """
-        if self.current is not None or self._has_left(upstream):
+        if self.current is not None:
+            return False
+        departure = self._departure_of(upstream.instance)
+        if departure is not None and departure.may_include(upstream.born):
             return False
         self._set_current(upstream)
         return True
 
+    def learn(self, departures: Departures) -> None:
+        """Learn of the departures that an earlier process recorded."""
+        self.departures = departing.union(self.departures, departures)
+
     def apply_heartbeat(self, heartbeat: Heartbeat) -> bool:
-        """Apply a heartbeat; return whether the state changed."""
-        if heartbeat.service != self._service:
+        """Apply a heartbeat; return whether `current` changed."""
+        if not self._is_addressed(heartbeat):
             return False
-        if heartbeat.address and heartbeat.address != self._address:
+        is_ready = heartbeat.state is UpstreamState.READY
+        newest = self._newest
+        if not is_ready and not _is_outdated(heartbeat, newest):
+            self._record(Departure(heartbeat.instance, heartbeat.born))
+        if newest is not None and not _is_newer(heartbeat, newest):
+            return False
+        if is_ready and not self._may_be_used(heartbeat):
+            return False
+        return self._announce(heartbeat)
+
+    def apply_leave(self, leaving: LeaveMessage) -> bool:
+        """Apply a leave message; return whether `current` changed."""
+        born = leaving.born or self._last_start_of(leaving.instance)
+        self._record_leave(leaving, born)
+        newest = self._newest
+        if newest is None or born > newest.born:
+            # A heartbeat of this start may arrive late.
+            left = Upstream(leaving.instance, born, UpstreamState.GONE, 0)
+            self._set_current(left)
+            return True
+        if newest.instance != leaving.instance or born < newest.born:
+            return False
+        if newest.state is UpstreamState.GONE:
+            return False
+        self._set_current(_gone(newest))
+        return True
+
+    def apply_health_check(
+        self, asked: Heartbeat, instance: str | None
+    ) -> bool:
+        """Apply a health check made for a start in question.
+
+        `instance` is the one that answered that it is healthy, None if none
+        did. Return whether `current` changed.
+        """
+        self._evidence.add_health_check(asked, instance)
+        heartbeat = self._evidence.newest
+        if heartbeat is None:
             return False
         newest = self._newest
         if newest is not None and not _is_newer(heartbeat, newest):
             return False
-        if self._has_left(heartbeat):
+        if not self._is_new_start(heartbeat):
             return False
+        return self._announce(heartbeat)
+
+    def signs_of_new_start(self) -> tuple[str, ...]:
+        """Return the signs that the start in question is a new one."""
+        heartbeat = self._evidence.newest
+        if heartbeat is None:
+            return ()
+        departure = self._departure_of(heartbeat.instance)
+        return () if departure is None else self._evidence.signs(departure)
+
+    def _is_addressed(self, heartbeat: Heartbeat) -> bool:
+        if heartbeat.service != self._service:
+            return False
+        return not heartbeat.address or heartbeat.address == self._address
+
+    def _announce(self, heartbeat: Heartbeat) -> bool:
         changed = Upstream(
             heartbeat.instance,
             heartbeat.born,
@@ -97,40 +174,76 @@
         self._set_current(changed)
         return before is None or _differs(before, changed)
 
-    def apply_leave(self, leaving: LeaveMessage) -> bool:
-        """Apply a leave message; return whether the state changed."""
-        newest = self._newest
-        if newest is None or leaving.born > newest.born:
-            # No heartbeat of this start has arrived yet; one may arrive late.
-            self._set_current(_gone(leaving.instance, leaving.born, 0))
-            return True
-        if newest.instance != leaving.instance:
-            self._record_departure(leaving)
-            return False
-        if 0 < leaving.born < newest.born:
-            return False
-        if newest.state is UpstreamState.GONE:
-            return False
-        self._set_current(_gone(newest.instance, newest.born, newest.slots))
-        return True
-
     def _set_current(self, upstream: Upstream) -> None:
+        self._evidence.clear()
         self._newest = upstream
         self.current = upstream
 
-    def _record_departure(self, leaving: LeaveMessage) -> None:
-        if len(self._departed_born_by_instance) >= MAX_DEPARTURES:
-            oldest = next(iter(self._departed_born_by_instance))
-            self._departed_born_by_instance.pop(oldest)
-        self._departed_born_by_instance[leaving.instance] = leaving.born
+    def _record(self, departure: Departure) -> None:
+        self.departures = departing.union(self.departures, (departure,))
+
+    def _record_leave(self, leaving: LeaveMessage, born: int) -> None:
+        heard_ms = 0 if leaving.born else leaving.received_ms
+        known = self._departure_of(leaving.instance)
+        if known is not None and known.heard_ms and known.includes(born):
+            # The message is repeated. To record the later time would be a
+            # change that has to be stored before it can be acknowledged.
+            heard_ms = 0
+        self._record(Departure(leaving.instance, born, heard_ms))
 
-    def _has_left(self, announced: Heartbeat | Upstream) -> bool:
-        departed_born = self._departed_born_by_instance.get(announced.instance)
-        return departed_born is not None and announced.born <= departed_born
+    def _departure_of(self, instance: str) -> Departure | None:
+        return departing.departure_of(self.departures, instance)
 
+    def _last_start_of(self, instance: str) -> int:
+        """Return the latest start of an instance that was heard of, or 0."""
+        newest, questioned = self._newest, self._evidence.newest
+        born = 0
+        if newest is not None and newest.instance == instance:
+            born = newest.born
+        if questioned is not None and questioned.instance == instance:
+            born = max(born, questioned.born)
+        return born
 
-def _gone(instance: str, born: int, slots: int) -> Upstream:
-    return Upstream(instance, born, UpstreamState.GONE, slots)
+    def _may_be_used(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether an announced start is none that has left."""
+        departure = self._departure_of(heartbeat.instance)
+        if departure is None or self._is_in_force(heartbeat):
+            return True
+        if departure.heard_ms and not departure.includes(heartbeat.born):
+            self._evidence.add_heartbeat(heartbeat)
+        return self._is_new_start(heartbeat)
+
+    def _is_new_start(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether an announced start is known to be no departed one."""
+        departure = self._departure_of(heartbeat.instance)
+        if departure is None:
+            return True
+        if departure.includes(heartbeat.born):
+            return False
+        return not departure.heard_ms or self._evidence.suffices(departure)
+
+    def _is_in_force(self, heartbeat: Heartbeat) -> bool:
+        current = self.current
+        return (
+            current is not None
+            and current.is_ready
+            and current.instance == heartbeat.instance
+            and current.born == heartbeat.born
+        )
+
+
+def _gone(upstream: Upstream) -> Upstream:
+    return replace(upstream, state=UpstreamState.GONE, sequence=-1)
+
+
+def _is_outdated(heartbeat: Heartbeat, known: Upstream | None) -> bool:
+    """Tell whether a start has said something else since."""
+    return (
+        known is not None
+        and known.instance == heartbeat.instance
+        and known.born == heartbeat.born
+        and known.sequence >= heartbeat.sequence
+    )
 
 
 def _is_newer(heartbeat: Heartbeat, known: Upstream) -> bool:
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -11,12 +11,13 @@
 
 import json
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import MappingProxyType
 from typing import Any, Final
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import MAX_SLOTS, Place
+from dragonflyknot.decisions.departures import Departure, Departures, union
 from dragonflyknot.decisions.siteview import MAX_STAMP, SiteEntry, Stamps
 from dragonflyknot.decisions.upstreammessages import MAX_BORN_MS, MAX_SEQUENCE
 from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
@@ -27,6 +28,7 @@
 COMPRESSED_CONFIGURATION_PATH: Final = '/.dragonflyknot/configuration.zlib'
 STOPPING_PATH: Final = '/.dragonflyknot/stopping'
 MAX_EPOCH: Final = 10**15
+LEAVING_STATES: Final = frozenset((UpstreamState.DRAINING, UpstreamState.GONE))
 _STATES_BY_VALUE: Final = MappingProxyType(
     {state.value: state for state in UpstreamState}
 )
@@ -134,9 +136,8 @@
     buckets: frozenset[int] | None = None
     if fields.has('stamped_buckets'):
         buckets = frozenset(map(int, fields.numbers('stamped_buckets')))
-    return Stamps(
-        _decode_stamps_by_host(fields.record('stamps')), tombstones, buckets
-    )
+    stamps = _decode_stamps_by_host(fields.record('stamps'))
+    return Stamps(stamps, tombstones, buckets)
 
 
 def _decode_stamps_by_host(fields: Fields) -> dict[str, int]:
@@ -149,7 +150,7 @@
 
 def _encode_entry_fields(entry: SiteEntry) -> dict[str, Any]:
     place = entry.place
-    return {
+    fields: dict[str, Any] = {
         'host': place.host,
         'address': place.address,
         'data_center': place.data_center,
@@ -162,6 +163,16 @@
         'stamp': entry.stamp,
         'sequence': entry.sequence,
     }
+    if entry.departures:
+        fields['departures'] = [
+            {
+                'instance': one.instance,
+                'born': one.born,
+                'heard_ms': one.heard_ms,
+            }
+            for one in entry.departures
+        ]
+    return fields
 
 
 def _decode_entry_fields(fields: Fields) -> SiteEntry:
@@ -174,13 +185,43 @@
         state=_decode_state(fields),
         slots=fields.integer('slots', minimum=0, maximum=MAX_SLOTS),
     )
-    return SiteEntry(
+    entry = SiteEntry(
         place,
         fields.name('instance'),
-        fields.integer('born', minimum=0, maximum=MAX_BORN_MS),
+        _decode_unix_ms(fields, 'born'),
         _decode_stamp(fields, 'stamp'),
         fields.integer('sequence', -1, minimum=-1, maximum=MAX_SEQUENCE),
+        _decode_departures(fields),
     )
+    return replace(entry, departures=_implied_departures(entry))
+
+
+def _decode_departures(fields: Fields) -> Departures:
+    rows = (Fields(row, 'departure') for row in fields.items('departures'))
+    departures = (
+        Departure(
+            row.name('instance'),
+            _decode_unix_ms(row, 'born'),
+            _decode_unix_ms(row, 'heard_ms'),
+        )
+        for row in rows
+    )
+    return union((), tuple(departures))
+
+
+def _implied_departures(entry: SiteEntry) -> Departures:
+    """Return the departures of an entry, also if an earlier release wrote it.
+
+    That release told of a leaving by the state of the entry alone.
+    """
+    if entry.departures or entry.place.state not in LEAVING_STATES:
+        return entry.departures
+    heard_ms = 0 if entry.born else entry.stamp
+    return (Departure(entry.instance, entry.born, heard_ms),)
+
+
+def _decode_unix_ms(fields: Fields, name: str) -> int:
+    return fields.integer(name, minimum=0, maximum=MAX_BORN_MS)
 
 
 def _decode_state(fields: Fields) -> UpstreamState:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -388,7 +388,8 @@
                     await fleet.hosts[0].__aexit__(None, None, None)
                     host = await fleet.start(0, is_announced=False)
                     await host.members.restored()
-                    await fleet.announce(0, slots=slots)
+                    start = fleet.heartbeat(0, slots=slots, born=2)
+                    await host.handle_heartbeat(start)
                     await fleet.until(_Knows(fleet, UpstreamState.READY))
 
         run_async(body())
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -94,14 +94,8 @@
         """Start the store, the upstreams and the daemons."""
         self.store.write('op', 'config', configuration(1))
         await self.start_store()
-        for number, upstream in enumerate(self.upstreams):
-            port = free_port()
-            await self.stack.enter_async_context(upstream.listening(port))
-            settings = replace(
-                _settings(number, port),
-                client_memory_bytes=self.client_memory_bytes,
-            )
-            self.settings.append(settings)
+        for number in range(len(self.upstreams)):
+            await self._prepare(number)
             await self.start(number)
         await self.until(self.all_know)
         return self
@@ -115,6 +109,25 @@
         # The transports that were aborted end in the next rounds.
         await asyncio.sleep(0.05)
 
+    async def add(self) -> SiteHost:
+        """Add a host whose upstream has not announced itself."""
+        number = len(self.upstreams)
+        self.upstreams.append(FakeUpstream(f'i-{number}'))
+        await self._prepare(number)
+        host = await self.start(number, is_announced=False)
+        await self.until(self.all_ready)
+        return host
+
+    async def _prepare(self, number: int) -> None:
+        port = free_port()
+        upstream = self.upstreams[number]
+        await self.stack.enter_async_context(upstream.listening(port))
+        settings = replace(
+            _settings(number, port),
+            client_memory_bytes=self.client_memory_bytes,
+        )
+        self.settings.append(settings)
+
     async def start_store(self) -> None:
         """Serve the store."""
         await self._store_stack.enter_async_context(
@@ -159,6 +172,7 @@
         number: int,
         state: UpstreamState = UpstreamState.READY,
         slots: int = 10,
+        born: int = 1,
     ) -> Heartbeat:
         """Return the next heartbeat of an upstream, not sent yet."""
         self._sequence += 1
@@ -167,7 +181,7 @@
             instance=self.upstreams[number].instance,
             service=settings.service,
             address=settings.upstream_address,
-            born=1,
+            born=born,
             sequence=self._sequence,
             state=state,
             slots=slots,
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -1,6 +1,7 @@
 """Tests of the messages by which daemons of a site know each other."""
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import testtools
@@ -8,6 +9,7 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import MAX_SLOTS, Place
+from dragonflyknot.decisions.departures import Departure
 from dragonflyknot.decisions.siteview import (
     MAX_STAMP,
     SiteEntry,
@@ -58,8 +60,38 @@
 
     def test_round_trip(self) -> None:
         """Decode what was encoded."""
-        decoded = sitewire.decode_entry(sitewire.encode_entry(entry()))
-        self.assertEqual(entry(), decoded)
+        departures = (Departure('i-0', 5, 7), Departure('i-1', 9))
+        for sent in (entry(), replace(entry(), departures=departures)):
+            decoded = sitewire.decode_entry(sitewire.encode_entry(sent))
+            self.assertEqual(sent, decoded)
+
+    # Guards against a leaving that an earlier release has stored, by its
+    # state alone.
+    def test_leaving_of_an_earlier_release(self) -> None:
+        """Take the state for a departure."""
+        for born, state, departure in (
+            (99, 'gone', Departure('i-1', 99)),
+            (99, 'draining', Departure('i-1', 99)),
+            (0, 'gone', Departure('i-1', heard_ms=4)),
+        ):
+            decoded = sitewire.decode_entry(encoded(born=born, state=state))
+            assert decoded is not None
+            self.assertEqual((departure,), decoded.departures)
+
+    def test_malformed_departures(self) -> None:
+        """Leave out an entry whose departures can't be read."""
+        row = {'instance': 'i-0', 'born': 5, 'heard_ms': 7}
+        self.assertIsNotNone(sitewire.decode_entry(encoded(departures=[row])))
+        malformed: tuple[Any, ...] = (
+            row,
+            [3],
+            [{}],
+            [{**row, 'born': -1}],
+            [{**row, 'heard_ms': MAX_BORN_MS + 1}],
+            [{**row, 'instance': 'a' * 257}],
+        )
+        for departures in malformed:
+            self._assert_left_out(encoded(departures=departures))
 
     # Guards against hosts that stop following at an entry they can't read.
     def test_malformed(self) -> None:
--- a/tests/unit/test_upstream_state.py
+++ b/tests/unit/test_upstream_state.py
@@ -18,9 +18,12 @@
     born: int = 100,
     service: str = 'mine',
     address: str = '10.0.0.1:80',
+    received_at: float = 0,
 ) -> Heartbeat:
     """Return a heartbeat."""
-    return Heartbeat(instance, service, address, born, sequence, state, 10)
+    return Heartbeat(
+        instance, service, address, born, sequence, state, 10, received_at
+    )
 
 
 class UpstreamRegisterTest(testtools.TestCase):
@@ -58,6 +61,21 @@
         self.assertTrue(self.register.apply_heartbeat(restarted))
         self.assertEqual(('i-1', READY), self.state())
 
+    # Guards against an upstream that its next process refuses for good, as a
+    # drain that it had taken back before arrived late.
+    def test_late_drain(self) -> None:
+        """Record no departure of a start that has said more since."""
+        for sequence in (4, 5):
+            self.register.apply_heartbeat(beat(sequence, DRAINING))
+        self.assertEqual((), self.register.departures)
+
+    # Guards against a draining upstream that a later heartbeat makes ready.
+    def test_ready_after_a_drain(self) -> None:
+        """Keep a drain for good, as it was acknowledged."""
+        self.register.apply_heartbeat(beat(6, DRAINING))
+        self.assertFalse(self.register.apply_heartbeat(beat(7)))
+        self.assertEqual(('i-1', DRAINING), self.state())
+
     def test_leave_is_final_for_its_start(self) -> None:
         """Ignore delayed heartbeats after the upstream has left."""
         self.assertTrue(self.register.apply_leave(LeaveMessage('i-1', 100)))
@@ -138,3 +156,180 @@
         """Use an upstream that started after the one that left."""
         self.register.record_earlier(Upstream('i-1', 100, GONE, 10))
         self.assertTrue(self.register.apply_heartbeat(beat(1, born=101)))
+
+
+class UnknownStartTest(testtools.TestCase):
+    """A leave message that names no start is final for the one that leaves.
+
+    The message arrives at 500; the start that leaves began at 300.
+    """
+
+    def setUp(self) -> None:
+        """Start without announcements."""
+        super().setUp()
+        self.register = UpstreamRegister('mine', '10.0.0.1:80')
+        self.leaving = LeaveMessage('i-1', received_ms=500)
+
+    def is_used(self) -> bool:
+        """Tell whether an upstream is in force and ready."""
+        current = self.register.current
+        return current is not None and current.is_ready
+
+    # Guards against an upstream that is used after it left: its first
+    # heartbeat is late, and the leave message did not name its start.
+    def test_late_heartbeat_of_an_unknown_upstream(self) -> None:
+        """Don't use the start that left."""
+        self.register.apply_leave(self.leaving)
+        self.register.apply_heartbeat(beat(1, born=300))
+        self.assertFalse(self.is_used())
+
+    # Guards against the same where another upstream was known before.
+    def test_late_heartbeat_beside_another_known_upstream(self) -> None:
+        """Keep out an instance that left before it was heard of."""
+        self.register.apply_heartbeat(beat(7, instance='i-0', born=100))
+        self.register.apply_leave(self.leaving)
+        self.register.apply_heartbeat(beat(1, born=300))
+        current = self.register.current
+        assert current is not None
+        self.assertEqual('i-0', current.instance)
+
+    # Guards against the same where an earlier start of the id was known: the
+    # message is about the later one.
+    def test_late_heartbeat_of_a_later_start(self) -> None:
+        """Keep out both starts."""
+        self.register.apply_heartbeat(beat(7, born=100))
+        self.register.apply_leave(self.leaving)
+        self.register.apply_heartbeat(beat(1, born=300))
+        self.register.apply_heartbeat(beat(8, born=100))
+        self.assertFalse(self.is_used())
+
+    # Guards against the same in the next process, which has read of it.
+    def test_late_heartbeat_at_the_next_process(self) -> None:
+        """Don't use the start that left."""
+        self.register.apply_leave(self.leaving)
+        earlier = self.register.current
+        assert earlier is not None
+        following = UpstreamRegister('mine', '10.0.0.1:80')
+        following.learn(self.register.departures)
+        following.record_earlier(earlier)
+        self.register = following
+        following.apply_heartbeat(beat(1, born=300))
+        self.assertFalse(self.is_used())
+
+    # Guards against a clock that was behind when the message arrived, so that
+    # the start that left seems to have begun after it.
+    def test_late_heartbeat_after_a_clock_went_back(self) -> None:
+        """Don't use a start for its time alone."""
+        self.register.apply_leave(LeaveMessage('i-1', received_ms=200))
+        self.register.apply_heartbeat(beat(1, born=300))
+        self.assertFalse(self.is_used())
+
+    # Guards against several late heartbeats, taken for those of a new start.
+    def test_several_late_heartbeats(self) -> None:
+        """Don't use a start for its repetition alone."""
+        self.register.apply_leave(self.leaving)
+        for sequence in (1, 2, 3):
+            late = beat(sequence, born=300, received_at=sequence * 1.5)
+            self.register.apply_heartbeat(late)
+            self.register.apply_health_check(late, None)
+        self.assertFalse(self.is_used())
+
+    # Guards against a health check that answers falsely.
+    def test_late_heartbeat_beside_a_false_health_check(self) -> None:
+        """Don't use a start for its health check alone."""
+        self.register.apply_leave(self.leaving)
+        late = beat(1, born=300)
+        self.register.apply_heartbeat(late)
+        self.assertFalse(self.register.apply_health_check(late, 'i-1'))
+        self.assertFalse(self.is_used())
+
+    # Guards against a repeated message that changes what has to be stored
+    # each time: it could then never be acknowledged while the store is slow.
+    def test_repeated_leave_message(self) -> None:
+        """Keep what the first message told."""
+        self.register.apply_leave(self.leaving)
+        before = self.register.departures
+        self.register.apply_leave(LeaveMessage('i-1', received_ms=900))
+        self.assertEqual(before, self.register.departures)
+
+    # Guards against a start in question that leaves, and is used after all.
+    def test_start_in_question_that_leaves(self) -> None:
+        """Take the start as the one that the message is about."""
+        self.register.apply_leave(self.leaving)
+        questioned = beat(1, born=600)
+        self.register.apply_heartbeat(questioned)
+        self.register.apply_leave(LeaveMessage('i-1', received_ms=900))
+        self.register.apply_health_check(questioned, 'i-1')
+        self.register.apply_heartbeat(beat(2, born=600, received_at=9))
+        self.assertFalse(self.is_used())
+
+    def test_drain_of_a_start_in_question(self) -> None:
+        """Take a drain as it is."""
+        self.register.apply_leave(self.leaving)
+        self.assertTrue(
+            self.register.apply_heartbeat(beat(2, DRAINING, born=600))
+        )
+        self.register.apply_heartbeat(beat(3, born=600, received_at=9))
+        self.assertFalse(self.is_used())
+
+
+class NewStartTest(testtools.TestCase):
+    """A start that is new under an id that has left is used."""
+
+    def setUp(self) -> None:
+        """Let an instance leave at 500, by a message without its start."""
+        super().setUp()
+        self.register = UpstreamRegister('mine', '10.0.0.1:80')
+        self.register.apply_leave(LeaveMessage('i-1', received_ms=500))
+
+    def is_used(self, born: int) -> bool:
+        """Tell whether a start is in force and ready."""
+        current = self.register.current
+        return current is not None and current.is_ready and current.born == born
+
+    # Guards against a new start that is shut out for its id.
+    def test_start_that_began_later_and_is_healthy(self) -> None:
+        """Use it at its first heartbeat."""
+        first = beat(1, born=600)
+        self.register.apply_heartbeat(first)
+        self.assertTrue(self.register.apply_health_check(first, 'i-1'))
+        self.assertTrue(self.is_used(600))
+
+    # Guards against a new start that is shut out for a false health check.
+    def test_start_that_began_later_and_repeats_itself(self) -> None:
+        """Use it at its second heartbeat."""
+        self.register.apply_heartbeat(beat(1, born=600))
+        self.register.apply_health_check(beat(1, born=600), None)
+        self.register.apply_heartbeat(beat(2, born=600, received_at=1.5))
+        self.assertTrue(self.is_used(600))
+
+    # Guards against a new start that is shut out since a clock was ahead as
+    # the leave message arrived.
+    def test_start_before_the_time_of_the_message(self) -> None:
+        """Use it after a second heartbeat and a health check."""
+        second = beat(2, born=400, received_at=1.5)
+        self.register.apply_heartbeat(beat(1, born=400))
+        self.register.apply_heartbeat(second)
+        self.assertFalse(self.is_used(400))
+        self.register.apply_health_check(second, 'i-1')
+        self.assertTrue(self.is_used(400))
+
+    # Guards against a start that is questioned again after it was confirmed.
+    def test_confirmed_start(self) -> None:
+        """Apply its later heartbeats at once, also a change of its slots."""
+        first = beat(1, born=600)
+        self.register.apply_heartbeat(first)
+        self.register.apply_health_check(first, 'i-1')
+        more = Heartbeat('i-1', 'mine', '10.0.0.1:80', 600, 2, READY, 20)
+        self.assertTrue(self.register.apply_heartbeat(more))
+
+    def test_start_whose_predecessor_named_itself(self) -> None:
+        """Use it at once where the leave message named its start."""
+        register = UpstreamRegister('mine', '10.0.0.1:80')
+        register.apply_leave(LeaveMessage('i-1', 100, received_ms=500))
+        self.assertTrue(register.apply_heartbeat(beat(1, born=101)))
+
+    def test_another_instance(self) -> None:
+        """Use another instance at once, whenever it began."""
+        other = beat(1, instance='i-2', born=200)
+        self.assertTrue(self.register.apply_heartbeat(other))
