Merge departures by union, and tell peers before a leaving is acknowledged

What callers saw: an upstream left; its daemon stored and acknowledged that and was killed some milliseconds later, as the store fell silent.

Cause: a leaving was part of an entry, and of two entries of a host the one with the later stamp replaced the other: at peers, in the own view, with a tombstone and in the store, where a write whose condition had failed read the row and wrote over it. Hosts with equal stamps took their entries for equal. For 0.1 s after an acknowledgement only the store and the process knew of it, and the register was asked for what an earlier process knew once.

Now all merges keep the union of departures, gossip compares their digests and gives them back to a host that lacks some, the register applies them whenever it learns them, and three peers are told while the store writes. Union has no order, so nothing that is said later takes a leaving back.

--- a/packages/daemon/src/dragonflyknot/daemon/entrywriter.py
+++ b/packages/daemon/src/dragonflyknot/daemon/entrywriter.py
@@ -2,7 +2,8 @@
 
 A row is written on the condition that it is as this host knows it: the store
 may perform a write that got no response seconds later, and must not replace a
-newer row by it.
+newer row by it. A row that differs from what was expected is read and told
+before it is replaced, as it may hold what an earlier process acknowledged.
 """
 
 import asyncio
@@ -17,6 +18,7 @@
 from dragonflyknot.stores.rowstore import (
     RowName,
     RowStore,
+    Snapshot,
     StoreOut,
     StoreVersion,
 )
@@ -35,16 +37,19 @@
         name: RowName,
         own_entry: Callable[[], SiteEntry | None],
         on_stored: Callable[[], None],
+        on_read: Callable[[Snapshot], None],
     ) -> None:
         """Start with nothing to write.
 
         `own_entry` returns the entry to write, and `on_stored` is called
-        after each write.
+        after each write. `on_read` is told of a row that was read, and may
+        change the entry.
         """
         self._store = store
         self._name = name
         self._own_entry = own_entry
         self._on_stored = on_stored
+        self._on_read = on_read
         self._is_due = asyncio.Event()
         self._is_announced = False
         self._version: StoreVersion | None = None
@@ -95,24 +100,29 @@
     async def _write_until_stored(self) -> None:
         pause_s = WRITE_PAUSE_S
         while (entry := self._own_entry()) is not None:
-            if not await self._put(entry):
+            stored = await self._put(entry)
+            if stored is None:
                 await asyncio.sleep(pause_s * (1 + random.random()))
                 pause_s = min(2 * pause_s, MAX_WRITE_PAUSE_S)
-            elif entry == self._own_entry():
+            elif stored == self._own_entry():
+                self._is_due.clear()
                 self._is_stored.set()
                 self._on_stored()
                 return
 
-    async def _put(self, entry: SiteEntry) -> bool:
-        """Write an entry; return whether the store has it."""
+    async def _put(self, entry: SiteEntry) -> SiteEntry | None:
+        """Write the entry; return the one that the store has, if known."""
         content = sitewire.encode_entry(entry)
         try:
             if await self._replace(content) or await self._holds(content):
-                return True
-            return await self._replace(content)
+                return entry
+            # What the row holds may have changed the entry.
+            newest = self._own_entry() or entry
+            is_done = await self._replace(sitewire.encode_entry(newest))
         except StoreOut as out:
             _log.info('entry_not_written', reason=out.reason)
-            return False
+            return None
+        return newest if is_done else None
 
     async def _replace(self, content: bytes) -> bool:
         """Write the row if it is as known; return whether it was written."""
@@ -124,6 +134,10 @@
 
     async def _holds(self, content: bytes) -> bool:
         """Read the row; return whether an earlier write was performed."""
-        rows = (await self._store.read_row(self._name)).rows
+        snapshot = await self._store.read_row(self._name)
+        rows = snapshot.rows
         self._version = rows[0].version if rows else None
-        return bool(rows) and rows[0].content == content
+        if rows and rows[0].content == content:
+            return True
+        self._on_read(snapshot)
+        return False
--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -18,6 +18,7 @@
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SiteSettings
 from dragonflyknot.decisions.candidates import Place
+from dragonflyknot.decisions.departures import Departures
 from dragonflyknot.decisions.followers import FollowerChoice
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
 from dragonflyknot.exchange.clientlink import LinkLost
@@ -35,6 +36,8 @@
 PUSH_DELAY_S: Final = 0.1
 PUSHED_NEAR: Final = 2
 PUSHED_ELSEWHERE_SHARE: Final = 0.3
+TOLD_NEAR: Final = 2
+TOLD_ELSEWHERE: Final = 1
 VERSION_PUSHED_NEAR: Final = 3
 GREETED_PEERS: Final = 2
 _log = structlog.get_logger(__name__)
@@ -96,6 +99,7 @@
         policy.subscribe(lambda _configuration: self._has_version.set())
         self.unreached_since_by_host: dict[str, float] = {}
         self.heard_at = time.monotonic()
+        self._told_departures: Departures = ()
 
     def publish(self, entries: Iterable[SiteEntry]) -> None:
         """Push changed entries to some peers soon."""
@@ -120,6 +124,20 @@
         self._learn(received)
         return sitewire.encode_gossip(self._reply(received))
 
+    async def tell_departures(self) -> None:
+        """Tell some peers the own departures, and wait for their responses.
+
+        They answer for this host while the store is out. Peers are not told
+        the same departures again.
+        """
+        own = self._view.own
+        if own is None or own.departures == self._told_departures:
+            return
+        told = self._random_peers(TOLD_NEAR, is_near=True)
+        told += self._random_peers(TOLD_ELSEWHERE, is_near=False)
+        if await self._push_to(told, self._gossip([own])):
+            self._told_departures = own.departures
+
     async def tell_stopping(self) -> None:
         """Tell peers that this host refuses attempts until it is back.
 
@@ -233,8 +251,10 @@
 
     def _reply(self, received: sitewire.SiteGossip) -> sitewire.SiteGossip:
         own = self._view.entries_by_host
-        wanted = (own[host] for host in received.wants if host in own)
-        reply = self._gossip(wanted)
+        wanted = {host: own[host] for host in received.wants if host in own}
+        for entry in self._view.lacking_departures(received.entries):
+            wanted[entry.place.host] = entry
+        reply = self._gossip(wanted.values())
         digest = self._view.digest()
         if not received.digest:
             return reply
@@ -246,13 +266,18 @@
 
     async def _push_to(
         self, peers: list[SiteEntry], news: sitewire.SiteGossip
-    ) -> None:
+    ) -> bool:
+        """Push news to peers; return whether one of them has it."""
         places = {peer.place for peer in peers}
-        await asyncio.gather(*(self._push(one, news) for one in places))
+        return any(
+            await asyncio.gather(*(self._push(one, news) for one in places))
+        )
 
-    async def _push(self, place: Place, news: sitewire.SiteGossip) -> None:
-        if await self._send(place, news) is None:
+    async def _push(self, place: Place, news: sitewire.SiteGossip) -> bool:
+        is_received = await self._send(place, news) is not None
+        if not is_received:
             _log.debug('news_not_pushed', peer=place.host)
+        return is_received
 
     async def _gossip_with(self, place: Place) -> None:
         probe = replace(
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -278,6 +278,7 @@
         self.rates.configure(configuration)
 
     def _members_changed(self) -> None:
+        self._learn_departures()
         if not self.members.is_settled:
             # This host would take the parts of those that it does not know.
             return
@@ -324,6 +325,15 @@
         else:
             _log.info('leaving_known', instance=leaving.instance)
 
+    def _learn_departures(self) -> None:
+        """Apply departures that peers or the store know of."""
+        departures = self.members.departures
+        if departures == self.register.departures:
+            return
+        if self.register.learn(departures):
+            _log.info('departure_learnt', departures=len(departures))
+            self._announce_upstream()
+
     def _announce_upstream(self) -> None:
         self.gate.apply_announcement()
         register = self.register
@@ -332,7 +342,7 @@
     async def _leaving_kept(self, heartbeat: Heartbeat) -> None:
         """Wait until it is kept that an upstream leaves, if one does.
 
-        The next process of this host learns it from there.
+        The next process of this host learns it from the store or from peers.
         """
         upstream = self.register.current
         is_leaving = upstream is not None and not upstream.is_ready
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -96,6 +96,7 @@
             RowName(platform.hosts_table, settings.host),
             lambda: self.view.own,
             self._entry_stored,
+            self._changed,
         )
         self._own_row: bytes | None = None
         self._epoch = 0
@@ -219,8 +220,14 @@
         return () if own is None else own.departures
 
     async def kept(self) -> None:
-        """Wait until the store holds what was announced last."""
-        await self._writer.stored()
+        """Wait until the store holds what was announced last.
+
+        Peers are told of departures meanwhile, as they are asked if the next
+        process of this host doesn't reach the store.
+        """
+        await asyncio.gather(
+            self._writer.stored(), self.gossip.tell_departures()
+        )
 
     async def restored(self) -> Upstream | None:
         """Return the upstream that an earlier process of this host knew.
--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -12,18 +12,22 @@
 which is propagated like an entry; a host that is alive replaces its own
 tombstone by an entry with a higher stamp.
 
+The departures in an entry are not replaced with it: what two entries of a
+host tell of them is merged, whichever entry wins, and kept with a tombstone.
+
 Two hosts compare digests of buckets of hosts. Of the buckets that differ they
-compare stamps, and exchange only the entries that one of them lacks.
+compare stamps and digests of departures, and exchange only the entries that
+one of them lacks.
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from hashlib import sha256
 from typing import Final
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Place
-from dragonflyknot.decisions.departures import Departures, union
+from dragonflyknot.decisions.departures import Departures, digest_of, union
 from dragonflyknot.decisions.hostorder import position_of
 
 DIGEST_DIGITS: Final = 16
@@ -65,17 +69,25 @@
     """Hold the stamps of entries and of tombstones, by host.
 
     They cover the hosts of some buckets, or all hosts if `buckets` is None.
+    `departures` holds digests, of hosts alone that have departures.
     """
 
     entries: Mapping[str, int]
     tombstones: Mapping[str, int]
     buckets: frozenset[int] | None = None
+    departures: Mapping[str, str] = field(default_factory=dict)
 
     def covers(self, host: str) -> bool:
         """Tell whether the stamp of a host would be among these."""
         return self.buckets is None or bucket_of(host) in self.buckets
 
 
+@dataclass(frozen=True, slots=True)
+class _Tombstone:
+    stamp: int
+    departures: Departures
+
+
 def bucket_of(host: str) -> int:
     """Return the number of the bucket of a host."""
     return position_of(host)[0] % BUCKETS
@@ -94,7 +106,7 @@
         self._digest = ''
         self._bucket_digests: tuple[str, ...] = ()
         self.has_published = False
-        self._tombstones_by_host: dict[str, int] = {}
+        self._tombstones_by_host: dict[str, _Tombstone] = {}
 
     @property
     def own(self) -> SiteEntry | None:
@@ -105,15 +117,10 @@
         """Merge received entries; return those that changed the view."""
         updates: list[SiteEntry] = []
         for entry in entries:
-            host = entry.place.host
-            known = self.entries_by_host.get(host)
-            if entry.stamp <= self._last_stamp(host):
-                continue
-            if host == self._host and known and self.has_published:
-                # Another host or an earlier process wrote this entry.
-                entry = replace(known, stamp=entry.stamp + 1)
-            self._store(entry)
-            updates.append(entry)
+            merged = self._merged(entry)
+            if merged is not None:
+                self._store(merged)
+                updates.append(merged)
         return updates
 
     def publish(self, entry: SiteEntry, now_ms: int) -> SiteEntry:
@@ -121,8 +128,11 @@
 
         `now_ms` is the time of day in Unix milliseconds.
         """
-        stamp = max(now_ms, self._last_stamp(self._host) + 1)
-        stamped = replace(entry, stamp=stamp)
+        stamped = replace(
+            entry,
+            stamp=max(now_ms, self._last_stamp(self._host) + 1),
+            departures=union(self._departures(self._host), entry.departures),
+        )
         self.has_published = True
         self._store(stamped)
         return stamped
@@ -135,7 +145,8 @@
         """
         known = self.entries_by_host.pop(host, None)
         if known is not None:
-            self._add_tombstone(host, max(known.stamp, stamp))
+            latest = max(known.stamp, stamp)
+            self._add_tombstone(host, _Tombstone(latest, known.departures))
             self._forget_digests()
 
     def adopt_own(self, entry: SiteEntry) -> bool:
@@ -167,20 +178,23 @@
             if covered(host)
         }
         tombstones = {
-            host: stamp
-            for host, stamp in self._tombstones_by_host.items()
+            host: tombstone.stamp
+            for host, tombstone in self._tombstones_by_host.items()
             if covered(host)
         }
-        return Stamps(entries, tombstones, buckets)
+        departures = {
+            host: digest_of(entry.departures)
+            for host, entry in self.entries_by_host.items()
+            if entry.departures and covered(host)
+        }
+        return Stamps(entries, tombstones, buckets, departures)
 
     def newer_than(self, stamps: Stamps) -> list[SiteEntry]:
         """Return the entries that another host lacks or has outdated."""
         return [
             entry
             for host, entry in self.entries_by_host.items()
-            if stamps.covers(host)
-            and entry.stamp > stamps.entries.get(host, -1)
-            and entry.stamp > stamps.tombstones.get(host, -1)
+            if stamps.covers(host) and _tells_more(entry, stamps)
         ]
 
     def outdated_hosts(self, stamps: Stamps) -> list[str]:
@@ -189,6 +203,22 @@
             host
             for host, stamp in stamps.entries.items()
             if stamp > self._last_stamp(host)
+            or self._lacks_departures(host, stamps)
+        ]
+
+    def lacking_departures(
+        self, entries: Iterable[SiteEntry]
+    ) -> list[SiteEntry]:
+        """Return the known entries of hosts with more departures than these."""
+        known = (
+            (entry, self.entries_by_host.get(entry.place.host))
+            for entry in entries
+        )
+        return [
+            here
+            for there, here in known
+            if here is not None
+            and union(there.departures, here.departures) != there.departures
         ]
 
     def removed_elsewhere(self, stamps: Stamps) -> list[str]:
@@ -211,7 +241,10 @@
         if not self._bucket_digests:
             stamps: list[list[str]] = [[] for _ in range(BUCKETS)]
             for host, entry in self.entries_by_host.items():
-                stamps[bucket_of(host)].append(f'{host}={entry.stamp}')
+                departures = digest_of(entry.departures)
+                stamps[bucket_of(host)].append(
+                    f'{host}={entry.stamp}{departures}'
+                )
             self._bucket_digests = tuple(
                 _digest_of(sorted(one), BUCKET_DIGEST_DIGITS) for one in stamps
             )
@@ -235,17 +268,49 @@
             if here != there
         )
 
+    def _merged(self, entry: SiteEntry) -> SiteEntry | None:
+        """Return what is to be stored of a received entry, None if nothing."""
+        host = entry.place.host
+        known = self.entries_by_host.get(host)
+        known_departures = self._departures(host)
+        departures = union(known_departures, entry.departures)
+        is_newer = entry.stamp > self._last_stamp(host)
+        if not is_newer and departures == known_departures:
+            return None
+        if known is None:
+            return replace(entry, departures=departures) if is_newer else None
+        if host == self._host and self.has_published:
+            # Another host or an earlier process wrote this entry.
+            stamp = max(known.stamp, entry.stamp) + 1
+            return replace(known, stamp=stamp, departures=departures)
+        newest = entry if is_newer else known
+        return replace(newest, departures=departures)
+
+    def _departures(self, host: str) -> Departures:
+        known = self.entries_by_host.get(host)
+        if known is not None:
+            return known.departures
+        tombstone = self._tombstones_by_host.get(host)
+        return () if tombstone is None else tombstone.departures
+
+    def _lacks_departures(self, host: str, stamps: Stamps) -> bool:
+        known = self.entries_by_host.get(host)
+        there = stamps.departures.get(host, '')
+        return known is not None and there not in {
+            '',
+            digest_of(known.departures),
+        }
+
     def _last_stamp(self, host: str) -> int:
         known = self.entries_by_host.get(host)
-        tombstone_stamp = self._tombstones_by_host.get(host, -1)
-        return (
-            tombstone_stamp
-            if known is None
-            else max(known.stamp, tombstone_stamp)
+        tombstone = self._tombstones_by_host.get(host)
+        return max(
+            -1 if known is None else known.stamp,
+            -1 if tombstone is None else tombstone.stamp,
         )
 
-    def _add_tombstone(self, host: str, stamp: int) -> None:
-        self._tombstones_by_host[host] = stamp
+    def _add_tombstone(self, host: str, tombstone: _Tombstone) -> None:
+        self._tombstones_by_host[host] = tombstone
         if len(self._tombstones_by_host) > MAX_TOMBSTONES:
             oldest = next(iter(self._tombstones_by_host))
             self._tombstones_by_host.pop(oldest)
@@ -260,5 +325,17 @@
         self._bucket_digests = ()
 
 
+def _tells_more(entry: SiteEntry, stamps: Stamps) -> bool:
+    """Tell whether an entry is newer or has departures that others lack."""
+    host = entry.place.host
+    if entry.stamp <= stamps.tombstones.get(host, -1):
+        return False
+    if entry.stamp > stamps.entries.get(host, -1):
+        return True
+    if not entry.departures:
+        return False
+    return digest_of(entry.departures) != stamps.departures.get(host, '')
+
+
 def _digest_of(texts: Iterable[str], digits: int) -> str:
     return sha256('\n'.join(texts).encode()).hexdigest()[:digits]
--- a/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
+++ b/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
@@ -6,7 +6,7 @@
 
 A leaving is final: no announcement of a start that drains or has left makes
 it ready again, whichever process, peer or row of the store knows of the
-leaving. The message may be the first one
+leaving, and whenever this one learns of it. The message may be the first one
 that the daemon received of an upstream, and may not name the start that
 leaves; `startevidence` then tells a new start from a late announcement.
 
@@ -95,9 +95,23 @@
         self._set_current(upstream)
         return True
 
-    def learn(self, departures: Departures) -> None:
-        """Learn of the departures that an earlier process recorded."""
-        self.departures = departing.union(self.departures, departures)
+    def learn(self, departures: Departures) -> bool:
+        """Learn of departures; return whether `current` changed."""
+        before = self.departures
+        self.departures = departing.union(before, departures)
+        current = self.current
+        if current is None or not current.is_ready:
+            return False
+        departure = self._departure_of(current.instance)
+        if departure is None:
+            return False
+        known = departing.departure_of(before, current.instance)
+        heard_before_ms = 0 if known is None else known.heard_ms
+        is_in_question = departure.heard_ms > heard_before_ms
+        if not is_in_question and not departure.includes(current.born):
+            return False
+        self._set_current(_gone(current))
+        return True
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Apply a heartbeat; return whether `current` changed."""
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -124,6 +124,8 @@
         'stamps': dict(stamps.entries),
         'tombstones': dict(stamps.tombstones),
     }
+    if stamps.departures:
+        fields['departures'] = dict(stamps.departures)
     if stamps.buckets is not None:
         fields['stamped_buckets'] = sorted(stamps.buckets)
     return fields
@@ -133,11 +135,15 @@
     tombstones: dict[str, int] = {}
     if fields.has('tombstones'):
         tombstones = _decode_stamps_by_host(fields.record('tombstones'))
+    departures: dict[str, str] = {}
+    if fields.has('departures'):
+        digests = fields.record('departures')
+        departures = {host: digests.string(host) for host in digests.names()}
     buckets: frozenset[int] | None = None
     if fields.has('stamped_buckets'):
         buckets = frozenset(map(int, fields.numbers('stamped_buckets')))
     stamps = _decode_stamps_by_host(fields.record('stamps'))
-    return Stamps(stamps, tombstones, buckets)
+    return Stamps(stamps, tombstones, buckets, departures)
 
 
 def _decode_stamps_by_host(fields: Fields) -> dict[str, int]:
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -5,12 +5,17 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import testtools
 
 from asyncrun import run_async
 from dragonflyknot.daemon.sitehost import SiteHost
+from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.departures import Departure
+from dragonflyknot.decisions.siteview import SiteEntry
 from dragonflyknot.decisions.upstreammessages import Heartbeat, LeaveMessage
+from dragonflyknot.peers import sitewire
 from fakeupstream import Seen, whole
 from sitefleet import SiteFleet
 
@@ -21,6 +26,8 @@
 SETTLING_S = 0.3
 HEARTBEAT_S = 0.6
 CLOCK_STEP_MS = 60_000
+# A new process waits some seconds for the store before it goes by peers.
+SILENT_CALLS = 6
 
 
 class UnknownStartTest(testtools.TestCase):
@@ -141,6 +148,114 @@
         run_async(body())
 
 
+class LostAcknowledgementTest(testtools.TestCase):
+    """A host is killed right after it acknowledged a leaving."""
+
+    # Guards against a leaving that only the store and the killed process know
+    # of: the next process asks peers while the store is silent.
+    def test_peers_know_of_an_acknowledged_leaving(self) -> None:
+        """Tell peers before a leaving is acknowledged."""
+
+        async def body() -> None:
+            async with SiteFleet(3) as fleet:
+                late = await _leave(fleet, 0)
+                fleet.store.switches.silent = True
+                known = [
+                    one.members.view.entries_by_host['host-0'].departures
+                    for one in fleet.hosts[1:]
+                ]
+                self.assertTrue(all(known), known)
+                await fleet.hosts[0].__aexit__(None, None, None)
+                host = await fleet.start(0, is_announced=False)
+                host.members.merge(_known_entries(fleet.hosts[1]))
+                host.members.settle()
+                for _ in range(SILENT_CALLS):
+                    await host.handle_heartbeat(late)
+                self.assertFalse(_IsUsed(fleet, 0)())
+                fleet.store.switches.silent = False
+                await fleet.until(fleet.all_ready)
+                await _check_unused(self, fleet, 0)
+
+        run_async(body())
+
+    # Guards against a stored leaving that is overwritten: the next process
+    # went by peers that didn't know of it, as the store was silent, and a late
+    # heartbeat made the upstream ready.
+    def test_row_that_is_read_after_a_late_heartbeat(self) -> None:
+        """Take the upstream out of use as soon as the row is read."""
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                known_before = _own_entry(fleet.hosts[0])
+                late = await _leave(fleet, 0)
+                fleet.store.switches.silent = True
+                await fleet.hosts[0].__aexit__(None, None, None)
+                host = await fleet.start(0, is_announced=False)
+                host.members.merge([known_before])
+                host.members.settle()
+                await _acknowledged(host, late)
+                self.assertTrue(_IsUsed(fleet, 0)())
+                fleet.store.switches.silent = False
+                await fleet.until(_HasLeft(fleet, 0))
+                await host.members.kept()
+                row, _version = fleet.store.rows['hosts', 'host-0']
+                stored = sitewire.decode_entry(row)
+                assert stored is not None
+                self.assertTrue(stored.is_gone)
+                self.assertEqual('i-0', stored.departures[0].instance)
+
+        run_async(body())
+
+    # Guards against a row that is written over though it was not as expected,
+    # and what it says of a leaving is passed over.
+    def test_row_that_another_process_has_written(self) -> None:
+        """Apply the row's departures before it is replaced."""
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                own = _own_entry(fleet.hosts[0])
+                fleet.store.switches.held['/rows-feed'] = asyncio.Event()
+                left = replace(
+                    own, stamp=own.stamp - 1, departures=(Departure('i-0', 1),)
+                )
+                content = sitewire.encode_entry(left)
+                fleet.store.write('hosts', 'host-0', content)
+                await fleet.announce(0, slots=12)
+                await fleet.until(_HasLeft(fleet, 0))
+
+        run_async(body())
+
+    # Guards against a leaving that a peer knows of, and whose host never
+    # hears of it since its own entry has the later stamp.
+    def test_departure_that_a_peer_knows(self) -> None:
+        """Learn it from the peer."""
+
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                peer = fleet.hosts[1]
+                known = peer.members.view.entries_by_host['host-0']
+                left = replace(known, departures=(Departure('i-0', 1),))
+                peer.members.merge([left])
+                await fleet.until(_HasLeft(fleet, 0))
+
+        run_async(body())
+
+
+class _HasLeft:
+    """Tell whether the upstream of a host is gone, and its row says so."""
+
+    def __init__(self, fleet: SiteFleet, number: int) -> None:
+        self._fleet = fleet
+        self._number = number
+
+    def __call__(self) -> bool:
+        host = self._fleet.hosts[self._number]
+        current = host.register.current
+        row, _version = self._fleet.store.rows['hosts', host.settings.host]
+        is_gone = current is not None and current.state is UpstreamState.GONE
+        return is_gone and b'"gone"' in row
+
+
 class _IsUsed:
     """Tell whether a host has an upstream in force that is ready."""
 
@@ -165,6 +280,23 @@
     return late
 
 
+async def _acknowledged(host: SiteHost, heartbeat: Heartbeat) -> None:
+    """Send a heartbeat again and again until it is acknowledged."""
+    async with asyncio.timeout(DEADLINE_S):
+        while not await host.handle_heartbeat(heartbeat):  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+def _known_entries(host: SiteHost) -> list[SiteEntry]:
+    return list(host.members.view.entries_by_host.values())
+
+
+def _own_entry(host: SiteHost) -> SiteEntry:
+    own = host.members.view.own
+    assert own is not None
+    return own
+
+
 async def _check_unused(
     test: testtools.TestCase, fleet: SiteFleet, number: int
 ) -> None:
--- a/tests/unit/test_site_view.py
+++ b/tests/unit/test_site_view.py
@@ -6,6 +6,7 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Place
+from dragonflyknot.decisions.departures import Departure, Departures
 from dragonflyknot.decisions.siteview import (
     SiteEntry,
     SiteView,
@@ -93,6 +94,85 @@
         self.assertNotEqual(first.digest(), second.digest())
 
 
+class DeparturesTest(testtools.TestCase):
+    """Departures are merged, whichever entry wins."""
+
+    def setUp(self) -> None:
+        """Let a view know an entry with a departure."""
+        super().setUp()
+        self.view = SiteView('own')
+        self.left = replace(entry('x', 3), departures=(Departure('i-1', 7),))
+        self.view.merge([self.left])
+
+    def departures(self, host: str = 'x') -> Departures:
+        """Return the departures that the view knows of a host."""
+        return self.view.entries_by_host[host].departures
+
+    # Guards against a leaving that is lost to an entry with a later stamp.
+    def test_later_entry_without_the_departure(self) -> None:
+        """Take the entry, and keep the departure."""
+        self.view.merge([entry('x', 4, slots=99)])
+        self.assertEqual(99, self.view.entries_by_host['x'].place.slots)
+        self.assertEqual(self.left.departures, self.departures())
+
+    # Guards against a leaving that is passed over as its entry is older.
+    def test_earlier_entry_with_a_departure(self) -> None:
+        """Keep the entry, and take the departure."""
+        older = replace(entry('x', 2), departures=(Departure('i-0', 5),))
+        self.assertEqual(1, len(self.view.merge([older])))
+        self.assertEqual(3, self.view.entries_by_host['x'].stamp)
+        self.assertEqual(
+            (Departure('i-0', 5), Departure('i-1', 7)), self.departures()
+        )
+        self.assertEqual([], self.view.merge([older]))
+
+    # Guards against an own row that is read late, and is replaced by the
+    # entry of this process without what it says of a leaving.
+    def test_own_row_of_an_earlier_process(self) -> None:
+        """Publish the departure under a higher stamp."""
+        published = self.view.publish(entry('own', 0, slots=7), 9)
+        row = replace(entry('own', 4), departures=(Departure('i-1', 7),))
+        self.view.merge([row])
+        own = self.view.own
+        assert own is not None
+        self.assertEqual(7, own.place.slots)
+        self.assertGreater(own.stamp, published.stamp)
+        self.assertEqual(row.departures, own.departures)
+
+    def test_publication_keeps_departures(self) -> None:
+        """Keep what others told of the own departures."""
+        row = replace(entry('own', 4), departures=(Departure('i-1', 7),))
+        self.view.merge([row])
+        published = self.view.publish(entry('own', 0), 9)
+        self.assertEqual(row.departures, published.departures)
+
+    # Guards against a leaving that is lost with a host's row, as the host was
+    # down for long.
+    def test_removed_host(self) -> None:
+        """Keep departures with the tombstone."""
+        self.view.remove('x')
+        self.view.merge([entry('x', 4)])
+        self.assertEqual(self.left.departures, self.departures())
+
+    # Guards against two hosts that take each other's entries for equal.
+    def test_departures_alone_differ(self) -> None:
+        """Exchange the entry, and agree after that."""
+        peer = SiteView('peer')
+        peer.merge([entry('x', 3)])
+        self.assertNotEqual(peer.digest(), self.view.digest())
+        self.assertEqual([self.left], self.view.newer_than(peer.stamps()))
+        self.assertEqual(['x'], peer.outdated_hosts(self.view.stamps()))
+        self.assertEqual([], peer.newer_than(self.view.stamps()))
+        self.assertEqual([], self.view.outdated_hosts(peer.stamps()))
+        self.assertEqual(
+            [self.left], self.view.lacking_departures([entry('x', 5)])
+        )
+        peer.merge([self.left])
+        self.assertEqual(peer.digest(), self.view.digest())
+        self.assertEqual([], self.view.newer_than(peer.stamps()))
+        self.assertEqual([], self.view.lacking_departures([self.left]))
+
+
 class BucketTest(testtools.TestCase):
     """Two hosts exchange the stamps of the buckets that differ alone."""
 
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -180,7 +180,7 @@
 
     def test_round_trip_of_a_comparison(self) -> None:
         """Carry digests and stamps of buckets, and what the sender knows."""
-        stamps = Stamps({'h': 4}, {}, frozenset({3, 5}))
+        stamps = Stamps({'h': 4}, {}, frozenset({3, 5}), {'h': 'a1b2c3'})
         message = sitewire.SiteGossip(
             7,
             'd',
--- a/tests/unit/test_upstream_state.py
+++ b/tests/unit/test_upstream_state.py
@@ -3,6 +3,7 @@
 import testtools
 
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.departures import Departure
 from dragonflyknot.decisions.upstreammessages import Heartbeat, LeaveMessage
 from dragonflyknot.decisions.upstreamstate import Upstream, UpstreamRegister
 
@@ -333,3 +334,55 @@
         """Use another instance at once, whenever it began."""
         other = beat(1, instance='i-2', born=200)
         self.assertTrue(self.register.apply_heartbeat(other))
+
+
+class LearntDepartureTest(testtools.TestCase):
+    """A departure holds whenever the process learns of it."""
+
+    def setUp(self) -> None:
+        """Let a late heartbeat make an upstream ready."""
+        super().setUp()
+        self.register = _late_heartbeat_applied()
+
+    def state(self) -> UpstreamState:
+        """Return the state in force."""
+        assert self.register.current is not None
+        return self.register.current.state
+
+    # Guards against a row that is read late and whose leaving is passed over.
+    def test_departures_of_the_start_in_force(self) -> None:
+        """Take the upstream out of use, whether its start is named or not."""
+        for departure in (
+            Departure('i-1', born=300),
+            Departure('i-1', heard_ms=500),
+            Departure('i-1', heard_ms=200),
+        ):
+            self.register = _late_heartbeat_applied()
+            self.assertTrue(self.register.learn((departure,)))
+            self.register.apply_heartbeat(beat(6, born=300))
+            self.assertIs(GONE, self.state(), str(departure))
+
+    def test_departures_of_others(self) -> None:
+        """Keep an upstream that the departures do not concern."""
+        departures = (Departure('i-0', 900, 900), Departure('i-1', born=299))
+        self.assertFalse(self.register.learn(departures))
+        self.assertIs(READY, self.state())
+
+    # Guards against an old departure that takes out a start that was found
+    # to be a new one.
+    def test_known_departure(self) -> None:
+        """Keep a confirmed start when peers tell what was known."""
+        departures = (Departure('i-1', heard_ms=200),)
+        self.register.learn(departures)
+        again = beat(6, born=400, received_at=1)
+        self.register.apply_heartbeat(again)
+        self.register.apply_health_check(again, 'i-1')
+        self.assertIs(READY, self.state())
+        self.assertFalse(self.register.learn(departures))
+        self.assertIs(READY, self.state())
+
+
+def _late_heartbeat_applied() -> UpstreamRegister:
+    register = UpstreamRegister('mine', '10.0.0.1:80')
+    register.apply_heartbeat(beat(5, born=300))
+    return register
