Open a connection for each health check

What callers saw: an upstream that left and started again under its id was used 1.6 s after its start, at its second heartbeat (trial with a real daemon), where the first was meant to do.

Cause: the check went over an idle connection that the start that had left still served, and that answered 503 for it. A start that leaves may as well answer 200 there for a moment; either way it is not the one that was asked about.

Evidence: test_health_check_opens_a_connection fails before (1 connection, not 2). After it passes; checks are made for a start in question and once after a restart alone, so a connection more costs next to nothing.

--- a/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
+++ b/packages/upstreams/src/dragonflyknot/upstreams/sitegate.py
@@ -129,12 +129,13 @@
     async def check_health(self, path: str) -> str | None:
         """Return the instance that answers a health check, or None.
 
-        An instance that is leaving does not answer with status 200.
+        An instance that is leaving does not answer with status 200. The check
+        opens a link: an earlier start may still serve an idle one.
         """
         head = b'GET %b HTTP/1.1\r\nHost: health\r\n\r\n' % path.encode()
         check = OutgoingRequest('GET', path.encode(), [], b'', b'')
         try:
-            link = await self._pool.acquire(CONNECT_TIMEOUT_S)
+            link = await self._pool.acquire(CONNECT_TIMEOUT_S, max_idle_s=0)
         except LinkLost:
             return None
         try:
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -112,6 +112,23 @@
 
         run_async(body())
 
+    # Guards against a health check that the start that left answers, over a
+    # connection that it still serves.
+    def test_health_check_opens_a_connection(self) -> None:
+        """Ask the upstream that listens now."""
+
+        async def body() -> None:
+            async with SiteFleet(1) as fleet:
+                upstream = fleet.upstreams[0]
+                await fleet.ask()
+                upstream.script = _answer_health
+                before = upstream.connections
+                answer = await fleet.hosts[0].gate.check_health('/healthz')
+                self.assertEqual('i-0', answer)
+                self.assertEqual(before + 1, upstream.connections)
+
+        run_async(body())
+
     # Guards against a new start that is shut out since the clock was ahead as
     # the leave message arrived.
     def test_new_start_after_a_clock_went_back(self) -> None:
