Split the removal of dead hosts' rows from the members of a site

No change of behaviour. Two tests name the members by their new public names; what they check is the same.

--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -22,6 +22,7 @@
 from dragonflyknot.daemon.siterates import SiteRates
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.daemon.tasks import Tasks, keep_running
+from dragonflyknot.daemon.timeofday import unix_ms
 from dragonflyknot.decisions.balancer import Balancer
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Load
@@ -155,7 +156,7 @@
 
     async def handle_deregistration(self, leaving: LeaveMessage) -> bool:
         """Apply a leave message; return whether it may be acknowledged."""
-        leaving = replace(leaving, received_ms=_unix_ms())
+        leaving = replace(leaving, received_ms=unix_ms())
         try:
             async with asyncio.timeout(MAX_ACK_S):
                 await self._knows_earlier.wait()
@@ -386,10 +387,6 @@
             self.links.trim()
 
 
-def _unix_ms() -> int:
-    return int(time.time() * 1000)
-
-
 async def _open(
     stack: AsyncExitStack, address: str, handler: Handler, limits: Limits
 ) -> Server:
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -2,9 +2,8 @@
 
 A new process reads the table once. A host writes its row only when its
 upstream changes. A few hosts of each region follow the table; `peergossip`
-tells the others, and goes on while the store is out. Rows of hosts that left,
-or that nobody reaches, are removed by their peers under the condition that
-they have not changed.
+tells the others, and goes on while the store is out. `hostreaper` removes the
+rows of hosts that nobody reaches.
 
 A store that was restored from an older copy lacks rows, has older ones or
 brings removed ones back. Each host writes its own row again; a row that is
@@ -22,10 +21,12 @@
 
 from dragonflyknot.daemon.entrywriter import EntryWriter
 from dragonflyknot.daemon.follower import TableFollower
+from dragonflyknot.daemon.hostreaper import HostReaper
 from dragonflyknot.daemon.peergossip import PeerGossip
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.daemon.tasks import keep_running
+from dragonflyknot.daemon.timeofday import unix_ms
 from dragonflyknot.decisions.balancer import Balancer
 from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.departures import Departures
@@ -36,13 +37,10 @@
 from dragonflyknot.stores.rowstore import (
     RowName,
     Snapshot,
-    StoreOut,
     StoreVersion,
     VersionedRow,
 )
 
-REAP_S: Final = 5.0
-LOST_AFTER_S: Final = 15.0
 FEED_WAIT_S: Final = 5.0
 FEED_PAUSE_S: Final = 1.0
 # How long a restarted host waits for its own row, which says what an earlier
@@ -79,7 +77,7 @@
             platform.store,
             self._table,
             self._read,
-            self._changed,
+            self.record_rows,
             wait_s=FEED_WAIT_S,
             is_wanted=self.is_follower,
             pause_s=FEED_PAUSE_S,
@@ -87,7 +85,7 @@
         if not settings.is_first_start:
             self._follower.read_soon()
         self._listeners: list[Callable[[], None]] = []
-        self._versions_by_host: dict[str, StoreVersion] = {}
+        self.versions_by_host: dict[str, StoreVersion] = {}
         self._has_read = asyncio.Event()
         self._has_read_table = asyncio.Event()
         self._is_settled = False
@@ -96,7 +94,7 @@
             RowName(platform.hosts_table, settings.host),
             lambda: self.view.own,
             self._entry_stored,
-            self._changed,
+            self.record_rows,
         )
         self._own_row: bytes | None = None
         self._epoch = 0
@@ -104,6 +102,9 @@
         self._listed_since = float('inf')
         self.view = SiteView(settings.host)
         self.gossip = PeerGossip(settings, links, policy, self.view, self)
+        self.reaper = HostReaper(
+            self._store, self._table, self, self.view, self.gossip
+        )
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener when members change."""
@@ -187,7 +188,7 @@
             return
         entry = replace(entry, departures=departures)
         if not self.view.adopt_own(entry):
-            self._news([self.view.publish(entry, _unix_ms())])
+            self._news([self.view.publish(entry, unix_ms())])
             self._writer.write_again()
             return
         if self._is_own_row_stored():
@@ -259,11 +260,11 @@
 
     def remove(self, host: str, stamp: int = 0) -> None:
         """Remove a host that left; the own entry is published again."""
-        self._versions_by_host.pop(host, None)
+        self.versions_by_host.pop(host, None)
         own = self.view.own
         self.view.remove(host, stamp)
         if host == self._settings.host and own is not None:
-            self._news([self.view.publish(own, _unix_ms())])
+            self._news([self.view.publish(own, unix_ms())])
             self._writer.write_again()
             return
         self._balancer.remove(host)
@@ -298,25 +299,26 @@
             group.create_task(keep_running(self.gossip.push_versions_on))
             group.create_task(keep_running(self.gossip.check_followers_on))
             group.create_task(keep_running(self._writer.run))
-            group.create_task(keep_running(self._reap_on))
+            group.create_task(keep_running(self.reaper.run))
 
     def _read(self, snapshot: Snapshot) -> None:
         keys = {row.key for row in snapshot.rows}
-        for host, version in tuple(self._versions_by_host.items()):
+        for host, version in tuple(self.versions_by_host.items()):
             if host in keys:
                 continue
             if version.is_comparable(snapshot.version):
                 self.remove(host)
             else:
                 # The restored store may lack rows of hosts that are alive.
-                self._versions_by_host.pop(host)
-        self._changed(snapshot)
+                self.versions_by_host.pop(host)
+        self.record_rows(snapshot)
         self._keep_own_row(snapshot)
         self._has_read_table.set()
         self.settle()
         self._has_read.set()
 
-    def _changed(self, snapshot: Snapshot) -> None:
+    def record_rows(self, snapshot: Snapshot) -> None:
+        """Merge the entries of rows that were read or have changed."""
         entries: list[SiteEntry] = []
         for row in snapshot.rows:
             entry = self._entry(row)
@@ -334,7 +336,7 @@
         if entry is None or entry.place.host != row.key:
             self._restore_row(row.key, row.content)
             return None
-        self._versions_by_host[row.key] = row.version
+        self.versions_by_host[row.key] = row.version
         if row.key == self._settings.host:
             self._own_row = row.content
         return entry
@@ -390,64 +392,3 @@
             # Of two hosts that start together, the later one to write reads
             # about the other.
             self._follower.read_soon()
-
-    async def _reap_on(self) -> None:
-        while True:
-            await asyncio.sleep(REAP_S * (0.5 + random.random()))
-            for host in (*self._dead(), *self._returned()):
-                await self._reap(host)
-
-    def _dead(self) -> list[str]:
-        """Return the hosts that did not answer for long."""
-        unreached = self.gossip.unreached_since_by_host
-        # A host that reaches few others may be cut off itself.
-        if not self.has_store or 2 * len(unreached) > len(self.gossip.peers()):
-            return []
-        oldest = time.monotonic() - LOST_AFTER_S
-        return [host for host, since in unreached.items() if since < oldest]
-
-    def _returned(self) -> list[str]:
-        """Return the removed hosts whose rows are in the store again."""
-        if not self.has_store or not self.is_follower():
-            return []
-        known = self.view.entries_by_host
-        return [host for host in self._versions_by_host if host not in known]
-
-    async def _reap(self, host: str) -> None:
-        if await self.gossip.reaches(host):
-            return
-        known = self.view.entries_by_host.get(host)
-        self.gossip.unreached_since_by_host.pop(host, None)
-        try:
-            version = await self._row_version(host)
-            if known != self.view.entries_by_host.get(host):
-                # The host has written its row in the meantime.
-                return
-            if version is None:
-                self.remove(host)
-                return
-            is_done = await self._store.remove(
-                [RowName(self._table, host)], [version]
-            )
-        except StoreOut as out:
-            _log.info('entry_not_removed', host=host, reason=out.reason)
-            return
-        if not is_done:
-            self._versions_by_host.pop(host, None)
-        _log.info('entry_removed', lost_host=host, done=is_done)
-
-    async def _row_version(self, host: str) -> StoreVersion | None:
-        """Return the version of a host's row, None if there is no row.
-
-        A host that does not follow the table reads the row. Raise StoreOut.
-        """
-        version = self._versions_by_host.get(host)
-        if version is None:
-            row = await self._store.read_row(RowName(self._table, host))
-            self._changed(row)
-            version = self._versions_by_host.get(host)
-        return version
-
-
-def _unix_ms() -> int:
-    return int(time.time() * 1000)
--- a/tests/platform/test_membership_calls.py
+++ b/tests/platform/test_membership_calls.py
@@ -157,7 +157,7 @@
                 members = fleet.hosts[0].members
                 unreached = members.gossip.unreached_since_by_host
                 unreached['host-1'] = float('-inf')
-                await members._reap('host-1')
+                await members.reaper.reap('host-1')
                 self.assertIn('host-1', members.view.entries_by_host)
                 self.assertIn(('hosts', 'host-1'), fleet.store.rows)
                 self.assertEqual({}, unreached)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -311,7 +311,7 @@
                 row = fleet.store.rows['hosts', removed]
                 await fleet.hosts[1].platform.store.remove(
                     [RowName('hosts', removed)],
-                    [fleet.hosts[1].members._versions_by_host[removed]],
+                    [fleet.hosts[1].members.versions_by_host[removed]],
                 )
                 self.assertNotIn(('hosts', removed), fleet.store.rows)
                 await fleet.until(fleet.all_know)
@@ -470,7 +470,7 @@
 def _all_list(fleet: SiteFleet, host: str) -> bool:
     return all(
         host in one.members.view.entries_by_host for one in fleet.hosts
-    ) and all(host in one.members._versions_by_host for one in fleet.hosts)
+    ) and all(host in one.members.versions_by_host for one in fleet.hosts)
 
 
 async def _refuse_health(_seen: Seen, writer: asyncio.StreamWriter) -> None:
