Name the departures of upstreams apart from those of clients, and split the announcements from the host

decisions/departures is now decisions/upstreamdepartures, as exchange/departures is about clients that leave; its tests are test_upstream_departures. No change of behaviour.

--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -18,9 +18,9 @@
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SiteSettings
 from dragonflyknot.decisions.candidates import Place
-from dragonflyknot.decisions.departures import Departures
 from dragonflyknot.decisions.followers import FollowerChoice
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
+from dragonflyknot.decisions.upstreamdepartures import Departures
 from dragonflyknot.exchange.clientlink import LinkLost
 from dragonflyknot.peers import sitewire
 from dragonflyknot.peers.sitelinks import PeerLinks
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -7,13 +7,9 @@
 
 import asyncio
 import random
-import time
 from contextlib import AsyncExitStack
-from dataclasses import replace
 from typing import Final
 
-import structlog
-
 from dragonflyknot.callers.siteedge import SiteEdge
 from dragonflyknot.callers.siteedgeports import SiteEdgeCounts, SiteEdgePorts
 from dragonflyknot.daemon import siteadmin, sitestop, siteusage
@@ -22,9 +18,11 @@
 from dragonflyknot.daemon.siterates import SiteRates
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.daemon.tasks import Tasks, keep_running
-from dragonflyknot.daemon.timeofday import unix_ms
+from dragonflyknot.daemon.upstreamannouncements import (
+    AnnouncementParts,
+    UpstreamAnnouncements,
+)
 from dragonflyknot.decisions.balancer import Balancer
-from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Load
 from dragonflyknot.decisions.siteconfig import SiteConfiguration
 from dragonflyknot.decisions.siteretries import SiteRetryBudget
@@ -49,9 +47,6 @@
 # Requests have shorter timeouts; their bodies end with them.
 PEER_BODY_S: Final = 120.0
 CONTROL_BODY_S: Final = 10.0
-# A later acknowledgement comes too late for the upstream, which asks again.
-MAX_ACK_S: Final = 0.8
-_log = structlog.get_logger(__name__)
 
 
 class SiteHost:
@@ -87,12 +82,19 @@
         self.counts = SiteEdgeCounts(RateLimitedLog())
         self.edge = SiteEdge(self._edge_ports())
         self.is_draining = False
-        self._knows_earlier = asyncio.Event()
-        if settings.is_first_start:
-            self._knows_earlier.set()
         self._callers_server: Server
         self._peers_server: Server
         self._tasks = Tasks()
+        self._announcements = UpstreamAnnouncements(
+            settings,
+            AnnouncementParts(
+                self.register,
+                self.gate,
+                self.members,
+                self.policy,
+                self._tasks,
+            ),
+        )
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> 'SiteHost':
@@ -108,7 +110,7 @@
                 self.policy.run(),
                 self.members.run(),
                 keep_running(self.rates.run),
-                self._restore(),
+                self._announcements.restore(),
                 keep_running(self._trim),
                 siteusage.log_usage_on(self.platform.store, self.links),
             ):
@@ -143,29 +145,11 @@
 
     async def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Apply a heartbeat; return whether it may be acknowledged."""
-        heartbeat = replace(heartbeat, received_at=time.monotonic())
-        try:
-            async with asyncio.timeout(MAX_ACK_S):
-                await self._knows_earlier.wait()
-                self._apply_heartbeat(heartbeat)
-                await self._leaving_kept(heartbeat)
-        except TimeoutError:
-            _log.info('heartbeat_not_stored', instance=heartbeat.instance)
-            return False
-        return True
+        return await self._announcements.handle_heartbeat(heartbeat)
 
     async def handle_deregistration(self, leaving: LeaveMessage) -> bool:
         """Apply a leave message; return whether it may be acknowledged."""
-        leaving = replace(leaving, received_ms=unix_ms())
-        try:
-            async with asyncio.timeout(MAX_ACK_S):
-                await self._knows_earlier.wait()
-                self._apply_leave(leaving)
-                await self._upstream_kept()
-        except TimeoutError:
-            _log.warning('leaving_not_stored', instance=leaving.instance)
-            return False
-        return True
+        return await self._announcements.handle_deregistration(leaving)
 
     async def drain(self) -> None:
         """Stop being ready and wait until nothing is in flight."""
@@ -279,7 +263,7 @@
         self.rates.configure(configuration)
 
     def _members_changed(self) -> None:
-        self._learn_departures()
+        self._announcements.learn_departures()
         if not self.members.is_settled:
             # This host would take the parts of those that it does not know.
             return
@@ -287,100 +271,6 @@
         self.site_retries.set_host_count(hosts)
         self.rates.set_host_count(len(self.members.entries()))
 
-    def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
-        if self.register.apply_heartbeat(heartbeat):
-            _log.info(
-                'upstream_announced',
-                instance=heartbeat.instance,
-                state=heartbeat.state.value,
-                slots=heartbeat.slots,
-            )
-            self._announce_upstream()
-        elif self.register.start_in_question is heartbeat:
-            self._log_question(heartbeat)
-            self._tasks.start(self._check_start(heartbeat))
-
-    def _log_question(self, heartbeat: Heartbeat) -> None:
-        _log.info(
-            'start_in_question',
-            instance=heartbeat.instance,
-            born=heartbeat.born,
-            sequence=heartbeat.sequence,
-            signs=self.register.signs_of_new_start(),
-        )
-
-    async def _check_start(self, heartbeat: Heartbeat) -> None:
-        """Ask an upstream that may have left whether it is in service."""
-        path = self._health_path()
-        if path is None:
-            return
-        instance = await self.gate.check_health(path)
-        if self.register.apply_health_check(heartbeat, instance):
-            _log.info('start_confirmed', instance=heartbeat.instance)
-            self._announce_upstream()
-
-    def _apply_leave(self, leaving: LeaveMessage) -> None:
-        if self.register.apply_leave(leaving):
-            _log.info('upstream_left', instance=leaving.instance)
-            self._announce_upstream()
-        else:
-            _log.info('leaving_known', instance=leaving.instance)
-
-    def _learn_departures(self) -> None:
-        """Apply departures that peers or the store know of."""
-        departures = self.members.departures
-        if departures == self.register.departures:
-            return
-        if self.register.learn(departures):
-            _log.info('departure_learnt', departures=len(departures))
-            self._announce_upstream()
-
-    def _announce_upstream(self) -> None:
-        self.gate.apply_announcement()
-        register = self.register
-        self.members.announce(register.current, register.departures)
-
-    async def _leaving_kept(self, heartbeat: Heartbeat) -> None:
-        """Wait until it is kept that an upstream leaves, if one does.
-
-        The next process of this host learns it from the store or from peers.
-        """
-        upstream = self.register.current
-        is_leaving = upstream is not None and not upstream.is_ready
-        if is_leaving or heartbeat.state is not UpstreamState.READY:
-            await self._upstream_kept()
-
-    async def _upstream_kept(self) -> None:
-        """Wait until the state of the upstream and departures are kept."""
-        register = self.register
-        self.members.announce(register.current, register.departures)
-        await self.members.kept()
-
-    def _health_path(self) -> str | None:
-        configuration = self.policy.configuration
-        if configuration is None:
-            return None
-        services = configuration.services_by_name
-        service = services.get(self.settings.service)
-        return None if service is None else service.health_path
-
-    async def _restore(self) -> None:
-        """Learn what an earlier process knew; use its upstream again."""
-        known = await self.members.restored()
-        self.register.learn(self.members.departures)
-        if known is not None:
-            self.register.record_earlier(known)
-            self.gate.apply_announcement()
-        self._knows_earlier.set()
-        await self.policy.first()
-        path = self._health_path()
-        if known is None or self.register.current is not None or path is None:
-            return
-        instance = await self.gate.check_health(path)
-        if instance == known.instance and self.register.restore(known):
-            _log.info('upstream_restored', instance=instance)
-            self.gate.apply_announcement()
-
     async def _trim(self) -> None:
         while True:
             await asyncio.sleep(TRIM_S)
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -29,8 +29,8 @@
 from dragonflyknot.daemon.timeofday import unix_ms
 from dragonflyknot.decisions.balancer import Balancer
 from dragonflyknot.decisions.candidates import Place
-from dragonflyknot.decisions.departures import Departures
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView
+from dragonflyknot.decisions.upstreamdepartures import Departures
 from dragonflyknot.decisions.upstreamstate import Upstream
 from dragonflyknot.peers import sitewire
 from dragonflyknot.peers.sitelinks import PeerLinks
--- a/packages/decisions/src/dragonflyknot/decisions/siteview.py
+++ b/packages/decisions/src/dragonflyknot/decisions/siteview.py
@@ -27,8 +27,12 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Place
-from dragonflyknot.decisions.departures import Departures, digest_of, union
 from dragonflyknot.decisions.hostorder import position_of
+from dragonflyknot.decisions.upstreamdepartures import (
+    Departures,
+    digest_of,
+    union,
+)
 
 DIGEST_DIGITS: Final = 16
 BUCKETS: Final = 32
--- a/packages/decisions/src/dragonflyknot/decisions/startevidence.py
+++ b/packages/decisions/src/dragonflyknot/decisions/startevidence.py
@@ -8,7 +8,7 @@
 
 from typing import Final
 
-from dragonflyknot.decisions.departures import Departure
+from dragonflyknot.decisions.upstreamdepartures import Departure
 from dragonflyknot.decisions.upstreammessages import Heartbeat
 
 # Late heartbeats that were held up together arrive together.
--- a/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
+++ b/packages/decisions/src/dragonflyknot/decisions/upstreamstate.py
@@ -16,10 +16,14 @@
 
 from dataclasses import dataclass, replace
 
-from dragonflyknot.decisions import departures as departing
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.departures import Departure, Departures
 from dragonflyknot.decisions.startevidence import StartEvidence
+from dragonflyknot.decisions.upstreamdepartures import (
+    Departure,
+    Departures,
+    departure_of,
+    union,
+)
 from dragonflyknot.decisions.upstreammessages import Heartbeat, LeaveMessage
 
 
@@ -98,14 +102,14 @@
     def learn(self, departures: Departures) -> bool:
         """Learn of departures; return whether `current` changed."""
         before = self.departures
-        self.departures = departing.union(before, departures)
+        self.departures = union(before, departures)
         current = self.current
         if current is None or not current.is_ready:
             return False
         departure = self._departure_of(current.instance)
         if departure is None:
             return False
-        known = departing.departure_of(before, current.instance)
+        known = departure_of(before, current.instance)
         heard_before_ms = 0 if known is None else known.heard_ms
         is_in_question = departure.heard_ms > heard_before_ms
         if not is_in_question and not departure.includes(current.born):
@@ -194,7 +198,7 @@
         self.current = upstream
 
     def _record(self, departure: Departure) -> None:
-        self.departures = departing.union(self.departures, (departure,))
+        self.departures = union(self.departures, (departure,))
 
     def _record_leave(self, leaving: LeaveMessage, born: int) -> None:
         heard_ms = 0 if leaving.born else leaving.received_ms
@@ -206,7 +210,7 @@
         self._record(Departure(leaving.instance, born, heard_ms))
 
     def _departure_of(self, instance: str) -> Departure | None:
-        return departing.departure_of(self.departures, instance)
+        return departure_of(self.departures, instance)
 
     def _last_start_of(self, instance: str) -> int:
         """Return the latest start of an instance that was heard of, or 0."""
--- a/packages/peers/src/dragonflyknot/peers/sitewire.py
+++ b/packages/peers/src/dragonflyknot/peers/sitewire.py
@@ -17,8 +17,12 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import MAX_SLOTS, Place
-from dragonflyknot.decisions.departures import Departure, Departures, union
 from dragonflyknot.decisions.siteview import MAX_STAMP, SiteEntry, Stamps
+from dragonflyknot.decisions.upstreamdepartures import (
+    Departure,
+    Departures,
+    union,
+)
 from dragonflyknot.decisions.upstreammessages import MAX_BORN_MS, MAX_SEQUENCE
 from dragonflyknot.exchange.jsonfields import FieldFault, Fields, read_json
 from dragonflyknot.exchange.telemetry import FaultLog
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_upstream_departures.py
@@ -12,8 +12,8 @@
 from asyncrun import run_async
 from dragonflyknot.daemon.sitehost import SiteHost
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.departures import Departure
 from dragonflyknot.decisions.siteview import SiteEntry
+from dragonflyknot.decisions.upstreamdepartures import Departure
 from dragonflyknot.decisions.upstreammessages import Heartbeat, LeaveMessage
 from dragonflyknot.peers import sitewire
 from fakeupstream import Seen, whole
--- a/tests/unit/test_site_view.py
+++ b/tests/unit/test_site_view.py
@@ -6,12 +6,12 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import Place
-from dragonflyknot.decisions.departures import Departure, Departures
 from dragonflyknot.decisions.siteview import (
     SiteEntry,
     SiteView,
     bucket_of,
 )
+from dragonflyknot.decisions.upstreamdepartures import Departure, Departures
 
 
 def entry(host: str, stamp: int, slots: int = 10) -> SiteEntry:
--- a/tests/unit/test_site_wire.py
+++ b/tests/unit/test_site_wire.py
@@ -9,13 +9,13 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import MAX_SLOTS, Place
-from dragonflyknot.decisions.departures import Departure
 from dragonflyknot.decisions.siteview import (
     MAX_STAMP,
     SiteEntry,
     SiteView,
     Stamps,
 )
+from dragonflyknot.decisions.upstreamdepartures import Departure
 from dragonflyknot.decisions.upstreammessages import MAX_BORN_MS
 from dragonflyknot.peers import sitewire
 from hostilejson import NESTED, strange_texts
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_upstream_departures.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from dragonflyknot.decisions.departures import (
+from dragonflyknot.decisions.upstreamdepartures import (
     MAX_DEPARTURES,
     Departure,
     departure_of,
--- a/tests/unit/test_upstream_state.py
+++ b/tests/unit/test_upstream_state.py
@@ -3,7 +3,7 @@
 import testtools
 
 from dragonflyknot.decisions.calls import UpstreamState
-from dragonflyknot.decisions.departures import Departure
+from dragonflyknot.decisions.upstreamdepartures import Departure
 from dragonflyknot.decisions.upstreammessages import Heartbeat, LeaveMessage
 from dragonflyknot.decisions.upstreamstate import Upstream, UpstreamRegister
 
