Compare with hosts whose upstream left lately

What callers saw: a daemon whose upstream had left was killed while the store was silent; the next process was not ready until the store answered again, though its clients and its upstream were still there. With peers told of a leaving before it is acknowledged, this is so from the first moment on.

Cause: peers don't gossip with hosts whose upstream is gone, and a new process that can't read the table knows nobody.

About two peers a second compare with each host whose upstream left in the last minute, without recording whether it answers: its machine may be gone.

--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -17,6 +17,7 @@
 
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SiteSettings
+from dragonflyknot.daemon.timeofday import unix_ms
 from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.followers import FollowerChoice
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
@@ -40,6 +41,9 @@
 TOLD_ELSEWHERE: Final = 1
 VERSION_PUSHED_NEAR: Final = 3
 GREETED_PEERS: Final = 2
+GREETERS: Final = 2
+# Upstreams that have left go on serving for some seconds.
+LEAVING_MS: Final = 60_000
 _log = structlog.get_logger(__name__)
 
 
@@ -170,8 +174,14 @@
         while True:
             await asyncio.sleep(_jittered(GOSSIP_INTERVAL_S))
             is_near = random.random() < SAME_DATA_CENTER_SHARE
-            for peer in self._random_peers(1, is_near=is_near):
-                await self._gossip_with(peer.place)
+            compared = [
+                self._gossip_with(peer.place)
+                for peer in self._random_peers(1, is_near=is_near)
+            ]
+            leaving = [
+                self._compare_with(one.place) for one in self._leaving_hosts()
+            ]
+            await asyncio.gather(*compared, *leaving)
 
     async def check_followers_on(self) -> None:
         """Check on the followers that this host is a standby for."""
@@ -280,6 +290,14 @@
         return is_received
 
     async def _gossip_with(self, place: Place) -> None:
+        """Compare with a host, and record whether it answered."""
+        if await self._compare_with(place):
+            self.unreached_since_by_host.pop(place.host, None)
+        else:
+            self._unreached(place)
+
+    async def _compare_with(self, place: Place) -> bool:
+        """Exchange what one of two hosts lacks; return whether it answered."""
         probe = replace(
             self._gossip(),
             digest=self._view.digest(),
@@ -287,13 +305,30 @@
         )
         received = await self._send(place, probe)
         if received is None:
-            self._unreached(place)
-            return
-        self.unreached_since_by_host.pop(place.host, None)
+            return False
         if received.stamps is None:
             self._membership.settle()
         else:
             await self._exchange(place, received.stamps)
+        return True
+
+    def _leaving_hosts(self) -> list[SiteEntry]:
+        """Return some hosts whose upstream left lately.
+
+        Their daemons still serve callers, and learn from peers alone if they
+        are restarted while the store is out. Each one is chosen by about
+        `GREETERS` of its peers.
+        """
+        now_ms = unix_ms()
+        share = GREETERS / max(1, len(self.peers()))
+        return [
+            entry
+            for host, entry in self._view.entries_by_host.items()
+            if entry.is_gone
+            and host != self._settings.host
+            and now_ms - entry.stamp < LEAVING_MS
+            and random.random() < share
+        ]
 
     async def _exchange(self, place: Place, stamps: Stamps) -> None:
         for host in self._view.removed_elsewhere(stamps):
--- a/tests/platform/test_upstream_departures.py
+++ b/tests/platform/test_upstream_departures.py
@@ -195,6 +195,21 @@
 
         run_async(body())
 
+    # Guards against a daemon that nobody tells anything after a restart beside
+    # a silent store, as its upstream is known to be gone.
+    def test_restart_beside_a_silent_store(self) -> None:
+        """Serve callers by what peers know, and keep the upstream out."""
+
+        async def body() -> None:
+            async with SiteFleet(3) as fleet:
+                late = await _leave(fleet, 0)
+                fleet.store.switches.silent = True
+                host = await _restart(fleet, 0)
+                await host.handle_heartbeat(late)
+                await _check_unused(self, fleet, 0)
+
+        run_async(body())
+
     # Guards against a stored leaving that is overwritten: the next process
     # went by peers that didn't know of it, as the store was silent, and a late
     # heartbeat made the upstream ready.
