--- /dev/null
+++ b/packages/daemon/src/dragonflyknot/daemon/peerchoice.py
@@ -0,0 +1,88 @@
+"""Choose the peers of a host to gossip with.
+
+Traffic inside a data center is free, and that between regions is dear.
+"""
+
+import random
+from typing import Final
+
+from dragonflyknot.daemon.sitesettings import SiteSettings
+from dragonflyknot.daemon.timeofday import unix_ms
+from dragonflyknot.decisions.siteview import SiteEntry, SiteView
+
+SAME_REGION_SHARE: Final = 0.8
+PEERS_PER_LEAVING_HOST: Final = 2
+# Upstreams that have left go on serving for some seconds.
+LEAVING_MS: Final = 60_000
+
+
+class PeerChoice:
+    """Choose among the hosts of a view."""
+
+    def __init__(self, settings: SiteSettings, view: SiteView) -> None:
+        """Choose for the host of the settings."""
+        self._settings = settings
+        self._view = view
+
+    def all(self) -> list[SiteEntry]:
+        """Return the other hosts that have not left."""
+        return [entry for entry in self._others() if not entry.is_gone]
+
+    def nearest(self) -> list[SiteEntry]:
+        """Return the peers in random order, the nearest data centers first."""
+        settings = self._settings
+        peers = self.all()
+        random.shuffle(peers)
+        return sorted(
+            peers,
+            key=lambda peer: (
+                peer.place.data_center != settings.data_center,
+                peer.place.region != settings.region,
+            ),
+        )
+
+    def random(self, count: int, *, is_near: bool) -> list[SiteEntry]:
+        """Return random peers of this data center, or of other ones.
+
+        Of the other ones, those of the own region are chosen more often. If
+        there is no such peer, any one will do.
+        """
+        settings = self._settings
+        peers = self.all()
+        wanted = [
+            one
+            for one in peers
+            if is_near is (one.place.data_center == settings.data_center)
+        ]
+        if not is_near and random.random() < SAME_REGION_SHARE:
+            region = [
+                one for one in wanted if one.place.region == settings.region
+            ]
+            wanted = region or wanted
+        wanted = wanted or peers
+        return random.sample(wanted, min(count, len(wanted)))
+
+    def leaving(self) -> list[SiteEntry]:
+        """Return some hosts whose upstream left lately.
+
+        Their daemons still serve callers, and learn from peers alone if they
+        are restarted while the store is out. Each one is chosen by about
+        `PEERS_PER_LEAVING_HOST` of its peers.
+        """
+        oldest_ms = unix_ms() - LEAVING_MS
+        share = PEERS_PER_LEAVING_HOST / max(1, len(self.all()))
+        return [
+            entry
+            for entry in self._others()
+            if entry.is_gone
+            and entry.stamp > oldest_ms
+            and random.random() < share
+        ]
+
+    def _others(self) -> list[SiteEntry]:
+        own = self._settings.host
+        return [
+            entry
+            for host, entry in self._view.entries_by_host.items()
+            if host != own
+        ]
--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -15,9 +15,9 @@
 
 import structlog
 
+from dragonflyknot.daemon.peerchoice import PeerChoice
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SiteSettings
-from dragonflyknot.daemon.timeofday import unix_ms
 from dragonflyknot.decisions.candidates import Place
 from dragonflyknot.decisions.followers import FollowerChoice
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
@@ -29,9 +29,7 @@
 GOSSIP_INTERVAL_S: Final = 1.0
 GOSSIP_TIMEOUT_S: Final = 0.5
 CHECK_INTERVAL_S: Final = 1.0
-# Traffic inside a data center is free, and that between regions is dear.
 SAME_DATA_CENTER_SHARE: Final = 0.75
-SAME_REGION_SHARE: Final = 0.8
 MAX_ENTRIES: Final = 200
 MAX_TOLD_PEERS: Final = 64
 PUSH_DELAY_S: Final = 0.1
@@ -41,9 +39,6 @@
 TOLD_ELSEWHERE: Final = 1
 VERSION_PUSHED_NEAR: Final = 3
 GREETED_PEERS: Final = 2
-GREETERS: Final = 2
-# Upstreams that have left go on serving for some seconds.
-LEAVING_MS: Final = 60_000
 _log = structlog.get_logger(__name__)
 
 
@@ -77,7 +72,8 @@
 class PeerGossip:
     """Exchange entries with peers.
 
-    `followers` tells who follows the store for the region.
+    `choice` chooses them, and `followers` tells who follows the store for the
+    region.
     `unreached_since_by_host` holds the monotonic time since which a peer has
     not answered, `heard_at` the time of the last message of any peer.
     """
@@ -103,6 +99,7 @@
         policy.subscribe(lambda _configuration: self._has_version.set())
         self.unreached_since_by_host: dict[str, float] = {}
         self.heard_at = time.monotonic()
+        self.choice = PeerChoice(settings, view)
         self._told_departures: Departures = ()
 
     def publish(self, entries: Iterable[SiteEntry]) -> None:
@@ -111,15 +108,6 @@
             self._to_push[entry.place.host] = entry
         self._has_news.set()
 
-    def peers(self) -> list[SiteEntry]:
-        """Return the other hosts that have not left."""
-        own = self._settings.host
-        return [
-            entry
-            for host, entry in self._view.entries_by_host.items()
-            if host != own and not entry.is_gone
-        ]
-
     def answer(self, content: bytes) -> bytes:
         """Answer a gossip message of a peer."""
         received = sitewire.decode_gossip(content)
@@ -137,8 +125,8 @@
         own = self._view.own
         if own is None or own.departures == self._told_departures:
             return
-        told = self._random_peers(TOLD_NEAR, is_near=True)
-        told += self._random_peers(TOLD_ELSEWHERE, is_near=False)
+        told = self.choice.random(TOLD_NEAR, is_near=True)
+        told += self.choice.random(TOLD_ELSEWHERE, is_near=False)
         if await self._push_to(told, self._gossip([own])):
             self._told_departures = own.departures
 
@@ -148,26 +136,13 @@
         The nearest ones are told, which send most attempts here. A peer that
         is not told learns of it by its first refused attempt.
         """
-        told = self.nearest_peers()[:MAX_TOLD_PEERS]
+        told = self.choice.nearest()[:MAX_TOLD_PEERS]
         await asyncio.gather(*(self._tell_stopping_to(one) for one in told))
 
-    def nearest_peers(self) -> list[SiteEntry]:
-        """Return the peers in random order, the nearest data centers first."""
-        settings = self._settings
-        peers = self.peers()
-        random.shuffle(peers)
-        return sorted(
-            peers,
-            key=lambda peer: (
-                peer.place.data_center != settings.data_center,
-                peer.place.region != settings.region,
-            ),
-        )
-
     async def compare_on(self) -> None:
         """Compare entries with a random peer at intervals."""
         await self._membership.first_known()
-        greeted = self.nearest_peers()[:GREETED_PEERS]
+        greeted = self.choice.nearest()[:GREETED_PEERS]
         await asyncio.gather(*(self._gossip_with(one.place) for one in greeted))
         if greeted or not self._settings.is_first_start:
             self._policy.record_peers_asked()
@@ -176,10 +151,10 @@
             is_near = random.random() < SAME_DATA_CENTER_SHARE
             compared = [
                 self._gossip_with(peer.place)
-                for peer in self._random_peers(1, is_near=is_near)
+                for peer in self.choice.random(1, is_near=is_near)
             ]
             leaving = [
-                self._compare_with(one.place) for one in self._leaving_hosts()
+                self._compare_with(one.place) for one in self.choice.leaving()
             ]
             await asyncio.gather(*compared, *leaving)
 
@@ -200,14 +175,14 @@
             await self._has_news.wait()
             await asyncio.sleep(PUSH_DELAY_S)
             self._has_news.clear()
-            if not self.peers():
+            if not self.choice.all():
                 # The first peers that are known raise the event again.
                 continue
             news = self._gossip(self._to_push.values())
             self._to_push.clear()
-            chosen = self._random_peers(PUSHED_NEAR, is_near=True)
+            chosen = self.choice.random(PUSHED_NEAR, is_near=True)
             if random.random() < PUSHED_ELSEWHERE_SHARE:
-                chosen += self._random_peers(1, is_near=False)
+                chosen += self.choice.random(1, is_near=False)
             await self._push_to(chosen, news)
 
     async def push_versions_on(self) -> None:
@@ -215,8 +190,8 @@
         while True:
             await self._has_version.wait()
             self._has_version.clear()
-            chosen = self._random_peers(VERSION_PUSHED_NEAR, is_near=True)
-            chosen += self._random_peers(1, is_near=False)
+            chosen = self.choice.random(VERSION_PUSHED_NEAR, is_near=True)
+            chosen += self.choice.random(1, is_near=False)
             await self._push_to(chosen, self._gossip())
 
     async def reaches(self, host: str) -> bool:
@@ -312,24 +287,6 @@
             await self._exchange(place, received.stamps)
         return True
 
-    def _leaving_hosts(self) -> list[SiteEntry]:
-        """Return some hosts whose upstream left lately.
-
-        Their daemons still serve callers, and learn from peers alone if they
-        are restarted while the store is out. Each one is chosen by about
-        `GREETERS` of its peers.
-        """
-        now_ms = unix_ms()
-        share = GREETERS / max(1, len(self.peers()))
-        return [
-            entry
-            for host, entry in self._view.entries_by_host.items()
-            if entry.is_gone
-            and host != self._settings.host
-            and now_ms - entry.stamp < LEAVING_MS
-            and random.random() < share
-        ]
-
     async def _exchange(self, place: Place, stamps: Stamps) -> None:
         for host in self._view.removed_elsewhere(stamps):
             self._membership.remove(host, stamps.tombstones[host])
@@ -375,27 +332,6 @@
         self.unreached_since_by_host.setdefault(place.host, now)
         self.followers.record_doubt(place.host, now)
 
-    def _random_peers(self, count: int, *, is_near: bool) -> list[SiteEntry]:
-        """Return random peers of this data center, or of other ones.
-
-        Of the other ones, those of the own region are chosen more often. If
-        there is no such peer, any one will do.
-        """
-        settings = self._settings
-        peers = self.peers()
-        wanted = [
-            one
-            for one in peers
-            if is_near is (one.place.data_center == settings.data_center)
-        ]
-        if not is_near and random.random() < SAME_REGION_SHARE:
-            region = [
-                one for one in wanted if one.place.region == settings.region
-            ]
-            wanted = region or wanted
-        wanted = wanted or peers
-        return random.sample(wanted, min(count, len(wanted)))
-
 
 def _jittered(interval_s: float) -> float:
     return interval_s * (0.75 + random.random() / 2)
