--- a/packages/daemon/src/dragonflyknot/daemon/hostreaper.py
+++ b/packages/daemon/src/dragonflyknot/daemon/hostreaper.py
@@ -76,7 +76,7 @@
         """Return the hosts that did not answer for long."""
         unreached = self._gossip.unreached_since_by_host
         # A host that reaches few others may be cut off itself.
-        is_cut_off = 2 * len(unreached) > len(self._gossip.choice.all())
+        is_cut_off = 2 * len(unreached) > len(self._gossip.choice.peers())
         if is_cut_off or not self._rows.has_store:
             return []
         oldest = time.monotonic() - LOST_AFTER_S
--- a/packages/daemon/src/dragonflyknot/daemon/peerchoice.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peerchoice.py
@@ -17,21 +17,21 @@
 
 
 class PeerChoice:
-    """Choose among the hosts of a view."""
+    """Choose among the other hosts of a view."""
 
     def __init__(self, settings: SiteSettings, view: SiteView) -> None:
         """Choose for the host of the settings."""
         self._settings = settings
         self._view = view
 
-    def all(self) -> list[SiteEntry]:
+    def peers(self) -> list[SiteEntry]:
         """Return the other hosts that have not left."""
         return [entry for entry in self._others() if not entry.is_gone]
 
-    def nearest(self) -> list[SiteEntry]:
+    def nearest_peers(self) -> list[SiteEntry]:
         """Return the peers in random order, the nearest data centers first."""
         settings = self._settings
-        peers = self.all()
+        peers = self.peers()
         random.shuffle(peers)
         return sorted(
             peers,
@@ -41,14 +41,14 @@
             ),
         )
 
-    def random(self, count: int, *, is_near: bool) -> list[SiteEntry]:
+    def random_peers(self, count: int, *, is_near: bool) -> list[SiteEntry]:
         """Return random peers of this data center, or of other ones.
 
         Of the other ones, those of the own region are chosen more often. If
         there is no such peer, any one will do.
         """
         settings = self._settings
-        peers = self.all()
+        peers = self.peers()
         wanted = [
             one
             for one in peers
@@ -62,20 +62,20 @@
         wanted = wanted or peers
         return random.sample(wanted, min(count, len(wanted)))
 
-    def leaving(self) -> list[SiteEntry]:
+    def leaving_hosts(self) -> list[SiteEntry]:
         """Return some hosts whose upstream left lately.
 
         Their daemons still serve callers, and learn from peers alone if they
         are restarted while the store is out. Each one is chosen by about
         `PEERS_PER_LEAVING_HOST` of its peers.
         """
-        oldest_ms = unix_ms() - LEAVING_MS
-        share = PEERS_PER_LEAVING_HOST / max(1, len(self.all()))
+        now_ms = unix_ms()
+        share = PEERS_PER_LEAVING_HOST / max(1, len(self.peers()))
         return [
             entry
             for entry in self._others()
             if entry.is_gone
-            and entry.stamp > oldest_ms
+            and abs(now_ms - entry.stamp) < LEAVING_MS
             and random.random() < share
         ]
 
--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -125,8 +125,8 @@
         own = self._view.own
         if own is None or own.departures == self._told_departures:
             return
-        told = self.choice.random(TOLD_NEAR, is_near=True)
-        told += self.choice.random(TOLD_ELSEWHERE, is_near=False)
+        told = self.choice.random_peers(TOLD_NEAR, is_near=True)
+        told += self.choice.random_peers(TOLD_ELSEWHERE, is_near=False)
         if await self._push_to(told, self._gossip([own])):
             self._told_departures = own.departures
 
@@ -136,13 +136,13 @@
         The nearest ones are told, which send most attempts here. A peer that
         is not told learns of it by its first refused attempt.
         """
-        told = self.choice.nearest()[:MAX_TOLD_PEERS]
+        told = self.choice.nearest_peers()[:MAX_TOLD_PEERS]
         await asyncio.gather(*(self._tell_stopping_to(one) for one in told))
 
     async def compare_on(self) -> None:
         """Compare entries with a random peer at intervals."""
         await self._membership.first_known()
-        greeted = self.choice.nearest()[:GREETED_PEERS]
+        greeted = self.choice.nearest_peers()[:GREETED_PEERS]
         await asyncio.gather(*(self._gossip_with(one.place) for one in greeted))
         if greeted or not self._settings.is_first_start:
             self._policy.record_peers_asked()
@@ -151,10 +151,11 @@
             is_near = random.random() < SAME_DATA_CENTER_SHARE
             compared = [
                 self._gossip_with(peer.place)
-                for peer in self.choice.random(1, is_near=is_near)
+                for peer in self.choice.random_peers(1, is_near=is_near)
             ]
             leaving = [
-                self._compare_with(one.place) for one in self.choice.leaving()
+                self._compare_with(one.place)
+                for one in self.choice.leaving_hosts()
             ]
             await asyncio.gather(*compared, *leaving)
 
@@ -175,14 +176,14 @@
             await self._has_news.wait()
             await asyncio.sleep(PUSH_DELAY_S)
             self._has_news.clear()
-            if not self.choice.all():
+            if not self.choice.peers():
                 # The first peers that are known raise the event again.
                 continue
             news = self._gossip(self._to_push.values())
             self._to_push.clear()
-            chosen = self.choice.random(PUSHED_NEAR, is_near=True)
+            chosen = self.choice.random_peers(PUSHED_NEAR, is_near=True)
             if random.random() < PUSHED_ELSEWHERE_SHARE:
-                chosen += self.choice.random(1, is_near=False)
+                chosen += self.choice.random_peers(1, is_near=False)
             await self._push_to(chosen, news)
 
     async def push_versions_on(self) -> None:
@@ -190,8 +191,8 @@
         while True:
             await self._has_version.wait()
             self._has_version.clear()
-            chosen = self.choice.random(VERSION_PUSHED_NEAR, is_near=True)
-            chosen += self.choice.random(1, is_near=False)
+            chosen = self.choice.random_peers(VERSION_PUSHED_NEAR, is_near=True)
+            chosen += self.choice.random_peers(1, is_near=False)
             await self._push_to(chosen, self._gossip())
 
     async def reaches(self, host: str) -> bool:
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -150,7 +150,7 @@
 
     def peer_addresses(self) -> list[str]:
         """Return where other daemons listen for peers, the nearest first."""
-        return [one.place.address for one in self.gossip.choice.nearest()]
+        return [one.place.address for one in self.gossip.choice.nearest_peers()]
 
     def record_epoch(self, epoch: int) -> None:
         """Record the epoch of the store that a peer knows.
@@ -388,7 +388,7 @@
             self._follower.read_soon()
 
     def _entry_stored(self) -> None:
-        if not self.gossip.choice.all():
+        if not self.gossip.choice.peers():
             # Of two hosts that start together, the later one to write reads
             # about the other.
             self._follower.read_soon()
