Soak: upstreams that deregister without a drain, with late heartbeats

Half of the leavings kill the daemon as soon as it has acknowledged them, and half of the upstreams start again under their id. A start is told by its id and its time, so that a new start under an old id is none that left. The faults of a seed stay as they were; these come beside them.

--- a/measure/harness/sitedaemon.py
+++ b/measure/harness/sitedaemon.py
@@ -97,6 +97,15 @@
         answer = await exchange(self.upstream, head.encode() + body)
         return answer.startswith(SERVED)
 
+    async def deregister(self, instance: str) -> bool:
+        """Let the upstream leave; return whether that was acknowledged."""
+        head = (
+            f'POST /Instances.Deregister/{instance} HTTP/1.1\r\nHost: a\r\n'
+            'Content-Length: 0\r\n\r\n'
+        )
+        answer = await exchange(self.upstream, head.encode())
+        return answer.startswith(SERVED)
+
     async def until_ready(self) -> None:
         """Wait until the daemon says that it serves callers."""
         question = b'GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n'
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -1,7 +1,7 @@
 """Draw the faults of a soak from its seed."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 HOSTS = ('h0', 'h1', 'h2', 'h3')
@@ -10,6 +10,7 @@
 ROLL_GAP_S = 0.3
 PLANNED_SHARE = 0.3
 MOST_AT_ONCE = 4
+MAX_LATE_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +85,20 @@
     host: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamDeregisters:
+    """Let an upstream leave without a drain and start again.
+
+    Its last heartbeat is late. Its daemon may be killed as soon as it has
+    acknowledged the leaving.
+    """
+
+    host: str
+    late_s: float
+    keeps_id: bool
+    kills_daemon: bool
+
+
 @dataclass(frozen=True, slots=True)
 class LinkHeld:
     """Hold what goes from other hosts to a host, or back, for a while."""
@@ -124,6 +139,7 @@
     | UpstreamResets
     | UpstreamSlow
     | UpstreamLeaves
+    | UpstreamDeregisters
     | LinkHeld
     | LinkSlow
     | LinkResets
@@ -161,9 +177,27 @@
                 at_s = start_s + rng.random() * SEGMENT_S / 2
                 timed.append(Timed(at_s, rng.choice(_DRAWS)(rng)))
         start_s += SEGMENT_S
+    timed.extend(_deregistrations(seed, length_s))
     return sorted(timed, key=lambda one: one.at_s)
 
 
+def _deregistrations(seed: int, length_s: float) -> Iterator[Timed]:
+    """Yield leavings without a drain, beside the faults of all segments."""
+    rng = random.Random(f'deregistrations of {seed}')
+    at_s = rng.random() * SEGMENT_S
+    while at_s < length_s:
+        yield Timed(
+            at_s,
+            UpstreamDeregisters(
+                rng.choice(HOSTS),
+                late_s=rng.random() * MAX_LATE_S,
+                keeps_id=rng.random() < 0.5,
+                kills_daemon=rng.random() < 0.5,
+            ),
+        )
+        at_s += rng.random() * 2 * SEGMENT_S
+
+
 def _span_s(rng: random.Random) -> float:
     return 0.3 + rng.random() * 2
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -141,6 +141,8 @@
                 await self._slow(self.hosts_by_name[name].upstream, for_s)
             case schedule.UpstreamLeaves(name):
                 await self.hosts_by_name[name].upstream.leave()
+            case schedule.UpstreamDeregisters():
+                await self._deregister(fault)
             case schedule.LinkHeld(name, for_s, is_inward):
                 direction = (
                     Direction.TO_TARGET if is_inward else Direction.TO_CLIENT
@@ -156,6 +158,18 @@
             case _:
                 await self._hurt_store(fault)
 
+    async def _deregister(self, fault: schedule.UpstreamDeregisters) -> None:
+        host = self.hosts_by_name[fault.host]
+        late_heartbeat = await host.upstream.deregister(fault.late_s)
+        if late_heartbeat is None:
+            return
+        restart = self._kill(host) if fault.kills_daemon else asyncio.sleep(0)
+        await asyncio.gather(
+            late_heartbeat,
+            restart,
+            host.upstream.stay_and_start(keeps_id=fault.keeps_id),
+        )
+
     def links(self) -> int:
         """Return how many connections came from other hosts."""
         hosts = self.hosts_by_name.values()
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Awaitable, Callable
 
 from fakeupstream import FakeUpstream, Seen, whole
 from harness.sitedaemon import SiteDaemon
@@ -15,6 +16,7 @@
 ACK_S = 5.0
 STAY_S = 3.5
 HEALTH = 'GET /healthz '
+LEAVING = 'leaving'
 
 
 class SoakUpstream:
@@ -27,7 +29,8 @@
         self._daemon = daemon
         self._record = record
         self._rng = rng
-        self._starts = 1
+        self._ids = 1
+        self._born = _unix_ms()
         self._sequence = 0
         self._state = 'ready'
         self.slow_factor = float(1)
@@ -35,13 +38,19 @@
 
     @property
     def instance(self) -> str:
-        """Return the id of this start."""
-        return f'{self._daemon.name}-{self._starts}'
+        """Return the id, which some starts keep."""
+        return f'{self._daemon.name}-{self._ids}'
+
+    @property
+    def start(self) -> str:
+        """Return a name of this start, which no other one has."""
+        return f'{self.instance}@{self._born}'
 
     async def beat_on(self) -> None:
         """Announce the upstream until cancelled."""
         while True:
-            await self._beat()
+            if self._state != LEAVING:
+                await self._beat()
             await asyncio.sleep(BEAT_S)
 
     async def leave(self) -> None:
@@ -49,34 +58,72 @@
         if self._state != 'ready':
             return
         self._state = 'draining'
+        await self._until_acknowledged(self._beat)
+        await self.stay_and_start(keeps_id=False)
+
+    async def deregister(self, late_s: float) -> Awaitable[None] | None:
+        """Leave without a drain; the last heartbeat arrives late.
+
+        Return what sends that heartbeat, None if the upstream leaves already.
+        """
+        if self._state != 'ready':
+            return None
+        self._sequence += 1
+        late = (self.instance, self._sequence, 'ready', self._born)
+        self._state = LEAVING
+        await self._until_acknowledged(self._deregister)
+        return self._beat_late(late_s, late)
+
+    async def stay_and_start(self, *, keeps_id: bool) -> None:
+        """Serve on for a while, and start again as another instance or not."""
+        await asyncio.sleep(STAY_S)
+        self._ids += not keeps_id
+        self._born = _unix_ms()
+        self._sequence = 0
+        self._state = 'ready'
+
+    async def _until_acknowledged(
+        self, call: Callable[[], Awaitable[bool]]
+    ) -> None:
         try:
             async with asyncio.timeout(ACK_S):
-                while not await self._beat():  # noqa: ASYNC110
+                while not await call():  # noqa: ASYNC110
                     await asyncio.sleep(BEAT_S)
-            leaving = Leaving(self.instance, time.monotonic())
+            leaving = Leaving(self.start, time.monotonic())
             self._record.leavings.append(leaving)
         except TimeoutError:
             # Nobody acknowledged, as the daemon is down; it leaves anyway.
             await asyncio.sleep(0)
-        await asyncio.sleep(STAY_S)
-        self._starts += 1
-        self._sequence = 0
-        self._state = 'ready'
 
     async def _beat(self) -> bool:
         self._sequence += 1
+        return await self._in_time(
+            self._daemon.beat(
+                self.instance, self._sequence, self._state, self._born
+            )
+        )
+
+    async def _beat_late(
+        self, late_s: float, late: tuple[str, int, str, int]
+    ) -> None:
+        await asyncio.sleep(late_s)
+        await self._in_time(self._daemon.beat(*late))
+
+    async def _deregister(self) -> bool:
+        return await self._in_time(self._daemon.deregister(self.instance))
+
+    async def _in_time(self, call: Awaitable[bool]) -> bool:
         try:
             async with asyncio.timeout(1):
-                return await self._daemon.beat(
-                    self.instance, self._sequence, self._state, self._starts
-                )
+                return await call
         except TimeoutError:
             return False
 
     async def _serve(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
         if seen.line.startswith(HEALTH):
             named = f'Instance-Id: {self.instance}\r\n'
-            writer.write(whole(seen, extra=named))
+            status = '503 Leaving' if self._state == LEAVING else '200 OK'
+            writer.write(whole(seen, status=status, extra=named))
             return
         if seen.headers.get('expected-instance') != self.instance:
             writer.write(
@@ -89,10 +136,14 @@
             Run(
                 request_id,
                 self._daemon.name,
-                self.instance,
+                self.start,
                 time.monotonic(),
                 seen.headers,
             )
         )
         await asyncio.sleep(self._rng.uniform(*WORK_S) * self.slow_factor)
         writer.write(whole(seen, body_of(request_id)))
+
+
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
