--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -89,11 +89,13 @@
 class UpstreamDeregisters:
     """Let an upstream leave without a drain and start again.
 
-    Its last heartbeat is late. Its daemon may be killed as soon as it has
-    acknowledged the leaving.
+    Its last heartbeat is late, which is the first one of its start unless
+    `is_heard`. Its daemon may be killed as soon as it has acknowledged the
+    leaving.
     """
 
     host: str
+    is_heard: bool
     late_s: float
     keeps_id: bool
     kills_daemon: bool
@@ -190,6 +192,7 @@
             at_s,
             UpstreamDeregisters(
                 rng.choice(HOSTS),
+                is_heard=rng.random() < 0.5,
                 late_s=rng.random() * MAX_LATE_S,
                 keeps_id=rng.random() < 0.5,
                 kills_daemon=rng.random() < 0.5,
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -160,7 +160,9 @@
 
     async def _deregister(self, fault: schedule.UpstreamDeregisters) -> None:
         host = self.hosts_by_name[fault.host]
-        late_heartbeat = await host.upstream.deregister(fault.late_s)
+        late_heartbeat = await host.upstream.deregister(
+            fault.late_s, is_heard=fault.is_heard
+        )
         if late_heartbeat is None:
             return
         restart = self._kill(host) if fault.kills_daemon else asyncio.sleep(0)
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -61,13 +61,19 @@
         await self._until_acknowledged(self._beat)
         await self.stay_and_start(keeps_id=False)
 
-    async def deregister(self, late_s: float) -> Awaitable[None] | None:
+    async def deregister(
+        self, late_s: float, *, is_heard: bool
+    ) -> Awaitable[None] | None:
         """Leave without a drain; the last heartbeat arrives late.
 
         Return what sends that heartbeat, None if the upstream leaves already.
+        A start that leaves before it is heard takes the place of one that
+        crashed.
         """
         if self._state != 'ready':
             return None
+        if not is_heard:
+            self._begin_start(keeps_id=False)
         self._sequence += 1
         late = (self.instance, self._sequence, 'ready', self._born)
         self._state = LEAVING
@@ -77,6 +83,9 @@
     async def stay_and_start(self, *, keeps_id: bool) -> None:
         """Serve on for a while, and start again as another instance or not."""
         await asyncio.sleep(STAY_S)
+        self._begin_start(keeps_id=keeps_id)
+
+    def _begin_start(self, *, keeps_id: bool) -> None:
         self._ids += not keeps_id
         self._born = _unix_ms()
         self._sequence = 0
