--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -31,7 +31,7 @@
                 leaving = LeaveMessage('i-0', BORN)
                 host = fleet.hosts[0]
                 self.assertTrue(await host.handle_deregistration(leaving))
-                host = await _restart(fleet)
+                host = await fleet.restart(0)
                 await host.handle_heartbeat(late)
                 await self._check_unused(fleet)
 
@@ -45,7 +45,7 @@
             async with SiteFleet(2) as fleet:
                 late = fleet.heartbeat(0)
                 await fleet.announce(0, UpstreamState.DRAINING)
-                host = await _restart(fleet)
+                host = await fleet.restart(0)
                 await host.handle_heartbeat(late)
                 await self._check_unused(fleet)
 
@@ -60,10 +60,10 @@
             async with SiteFleet(2) as fleet:
                 late = fleet.heartbeat(0)
                 fleet.upstreams[0].script = _refuse_health
-                host = await _restart(fleet)
+                host = await fleet.restart(0)
                 leaving = LeaveMessage('i-0', BORN)
                 self.assertTrue(await host.handle_deregistration(leaving))
-                host = await _restart(fleet)
+                host = await fleet.restart(0)
                 await host.handle_heartbeat(late)
                 await self._check_unused(fleet)
 
@@ -82,7 +82,7 @@
                 leaving = LeaveMessage('i-new', BORN + 1)
                 host = fleet.hosts[0]
                 self.assertTrue(await host.handle_deregistration(leaving))
-                host = await _restart(fleet)
+                host = await fleet.restart(0)
                 await fleet.announce(0)
                 await self._check_unused(fleet)
 
@@ -99,7 +99,7 @@
                 ready = _writes_of(fleet, 'host-0')[0]
                 await fleet.announce(0, UpstreamState.DRAINING)
                 fleet.store.perform(ready)
-                host = await _restart(fleet)
+                host = await fleet.restart(0)
                 await host.handle_heartbeat(late)
                 await self._check_unused(fleet)
 
@@ -168,13 +168,5 @@
             await asyncio.sleep(0.05)
 
 
-async def _restart(fleet: SiteFleet) -> SiteHost:
-    """End the first host's process, and start the next one."""
-    await fleet.hosts[0].__aexit__(None, None, None)
-    host = await fleet.start(0, is_announced=False)
-    await fleet.until(fleet.all_ready)
-    return host
-
-
 async def _refuse_health(seen: Seen, writer: asyncio.StreamWriter) -> None:
     writer.write(whole(seen, status='503 Leaving'))
--- a/tests/platform/test_upstream_departures.py
+++ b/tests/platform/test_upstream_departures.py
@@ -57,7 +57,7 @@
                 await fleet.add()
                 late = await _leave(fleet, 2)
                 for _ in range(2):
-                    await _restart(fleet, 2)
+                    await fleet.restart(2)
                     await fleet.hosts[2].handle_heartbeat(late)
                     await _check_unused(self, fleet, 2)
 
@@ -72,7 +72,7 @@
             async with SiteFleet(2) as fleet:
                 fleet.upstreams[0].instance = 'i-next'
                 late = await _leave(fleet, 0)
-                await _restart(fleet, 0)
+                await fleet.restart(0)
                 await fleet.hosts[0].handle_heartbeat(late)
                 await _check_unused(self, fleet, 0)
 
@@ -107,7 +107,7 @@
                 start = fleet.heartbeat(0, born=born)
                 await fleet.hosts[0].handle_heartbeat(start)
                 await fleet.until(_IsUsed(fleet, 0))
-                await _restart(fleet, 0)
+                await fleet.restart(0)
                 await fleet.until(_IsUsed(fleet, 0))
 
         run_async(body())
@@ -204,7 +204,7 @@
             async with SiteFleet(3) as fleet:
                 late = await _leave(fleet, 0)
                 fleet.store.switches.silent = True
-                host = await _restart(fleet, 0)
+                host = await fleet.restart(0)
                 await host.handle_heartbeat(late)
                 await _check_unused(self, fleet, 0)
 
@@ -342,14 +342,6 @@
     test.assertEqual([], [one for one in lines if HEALTH_LINE not in one])
 
 
-async def _restart(fleet: SiteFleet, number: int) -> SiteHost:
-    """End the process of a host, and start the next one."""
-    await fleet.hosts[number].__aexit__(None, None, None)
-    host = await fleet.start(number, is_announced=False)
-    await fleet.until(fleet.all_ready)
-    return host
-
-
 async def _refuse_health(seen: Seen, writer: asyncio.StreamWriter) -> None:
     is_check = HEALTH_LINE in seen.line
     writer.write(whole(seen, status='503 Leaving' if is_check else '200 OK'))
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -157,6 +157,13 @@
             await self.announce(number)
         return host
 
+    async def restart(self, number: int) -> SiteHost:
+        """End the process of a host, and start the next one."""
+        await self.hosts[number].__aexit__(None, None, None)
+        host = await self.start(number, is_announced=False)
+        await self.until(self.all_ready)
+        return host
+
     async def announce(
         self,
         number: int,
