review: number the cases by gravity

What: the cases 11 to 14 become 12 to 15, as a graver one was found, which follows as case 11. The stand-ins gain what it needs: a daemon may take the addresses of one that is gone, and the store tells how many calls wait for changes. Nothing in the scripts of the cases is changed.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,11 +1,8 @@
-"""An upload that its target answers early, and a request behind it.
-
-The target rejects an upload before it has read it, keeps the connection and
-reads on later. Meanwhile it says that it drains.
-"""
+"""Uploads in progress while many users open connections at once."""
 
 import asyncio
 import sys
+import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -13,148 +10,206 @@
 
 import site_stand_in as site
 
-UPLOAD_BYTES = 300_000
-READ_ON_S = 2.7
-DRAIN_S = 2.0
-
+USUAL = 720
+BURST_X = 1.7
+UPLOADS = 12
+PARTS = 60
+PART_BYTES = 15_000
+PART_S = 0.083
+ALLOWED = 3
+READ_EVERY_S = 3.0
+DEADLINE_MS = 6000
+BURST_AT_S = 3.3
 
-class RejectingTarget:
-    """Reject uploads early; read on at once, or later."""
 
-    def __init__(self, record: site.Record, *, reads_later: bool) -> None:
-        self._record = record
-        self._reads_later = reads_later
-        self.reached_at: dict[str, float] = {}
-        self.rejected = asyncio.Event()
+async def play(folder: Path, record: site.Record, has_trouble: bool) -> bool:
+    """Return whether at most three uploads ended without an answer."""
+    store = site.Store()
+    store.write('op', 'config', site.configuration(1, _routes()))
+    reached: set[str] = set()
 
     async def serve(
-        self,
         head: site.Message,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         attempt = head.headers.get('attempt-id', '')
-        self.reached_at[attempt] = asyncio.get_running_loop().time()
-        self._record.write(f'target: {attempt} reaches it: {head.first}')
-        if not head.first.startswith('POST /upload/'):
-            body = await site.read_body(reader, head)
-            self._record.write(f'target: runs {attempt}, {len(body)} bytes')
-            writer.write(site.answer_of(head, b'done'))
-            return True
-        writer.write(
-            b'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n'
-            + f'Attempt-Id: {attempt}\r\n'.encode()
-            + b'Content-Length: 0\r\n\r\n'
-        )
-        await writer.drain()
-        self._record.write(f'target: {attempt} rejected, not run')
-        self.rejected.set()
-        if self._reads_later:
-            await asyncio.sleep(READ_ON_S)
+        reached.add(attempt)
+        if attempt.startswith('upload'):
+            record.write(f'target: {attempt} reaches it: {head.first}')
         body = await site.read_body(reader, head)
-        self._record.write(
-            f'target: has read the rest of {attempt}, {len(body)} bytes'
-        )
+        if attempt.startswith('upload'):
+            record.write(f'target: runs {attempt}, {len(body)} bytes')
+        writer.write(site.answer_of(head, b'done'))
         return True
 
-
-async def play(folder: Path, record: site.Record, has_trouble: bool) -> bool:
-    store = site.Store()
-    store.write(
-        'op',
-        'config',
-        site.configuration(
-            1,
-            [
-                [
-                    'up',
-                    site.HOST,
-                    '/upload/',
-                    'upload',
-                    '2500ms',
-                    '600ms',
-                    1,
-                    site.SERVICE,
-                    1,
-                    False,
-                ],
-                [
-                    'book',
-                    site.HOST,
-                    '/book/',
-                    'unsafe',
-                    '4000ms',
-                    '2000ms',
-                    0,
-                    site.SERVICE,
-                    1,
-                    False,
-                ],
-            ],
-        ),
-    )
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(await store.start())
         daemon = site.Daemon('sidecar-1', site.SERVICE, store)
-        script = RejectingTarget(record, reads_later=has_trouble)
-        target = site.Target(daemon, record, script.serve, receive_bytes=16384)
+        target = site.Target(daemon, record, serve)
         await stack.enter_async_context(await target.start())
         stack.push_async_callback(daemon.end)
         await daemon.start(folder, is_first=True)
         await daemon.until_ready()
         while not await target.beat():
             await asyncio.sleep(0.2)
-        upload = asyncio.create_task(
-            ask(daemon, record, 'u1', '/upload/x', b'u' * UPLOAD_BYTES, 2500)
-        )
-        await script.rejected.wait()
-        await upload
-        book = asyncio.create_task(
-            ask(daemon, record, 'b1', '/book/x', b'slot', 6000)
+        crowd = Crowd(daemon, record)
+        stack.push_async_callback(crowd.end)
+        uploads = [
+            asyncio.create_task(_use_connection(daemon, record, f'upload-{n}'))
+            for n in range(UPLOADS)
+        ]
+        began = time.monotonic()
+        await asyncio.sleep(0.3)
+        await crowd.grow(USUAL - UPLOADS)
+        await asyncio.sleep(max(0, began + BURST_AT_S - time.monotonic()))
+        if has_trouble:
+            await crowd.grow(round(USUAL * BURST_X) - USUAL)
+        statuses = await asyncio.gather(*uploads)
+        lost = sum(
+            status == 0 and f'upload-{n}' in reached
+            for n, status in enumerate(statuses)
         )
-        await asyncio.sleep(0.1)
-        target.state = 'draining'
-        if not await target.beat():
-            raise RuntimeError('the leaving was not acknowledged')
-        acked_at = asyncio.get_running_loop().time()
-        record.write('target: draining, acknowledged')
-        await book
-        await asyncio.sleep(1)
-        late_s = script.reached_at.get('b1', acked_at) - acked_at
+        record.write(f'connections of the crowd that ended: {crowd.ended}')
         record.write(
-            f'b1 reached the target {late_s:.3f} s after the acknowledgement'
+            f'{lost} of {UPLOADS} uploads were passed on to the target and '
+            f'got no answer; {ALLOWED} are allowed'
         )
-        return late_s <= DRAIN_S
+        return lost <= ALLOWED
 
 
-async def ask(
-    daemon: site.Daemon,
-    record: site.Record,
-    attempt: str,
-    path: str,
-    body: bytes,
-    deadline_ms: int,
+def _routes() -> list[list[object]]:
+    return [
+        [
+            'up',
+            site.HOST,
+            '/upload/',
+            'upload',
+            '6000ms',
+            '600ms',
+            1,
+            site.SERVICE,
+            1,
+            False,
+        ],
+        [
+            'read',
+            site.HOST,
+            '/read/',
+            'safe',
+            '1000ms',
+            '1500ms',
+            2,
+            site.SERVICE,
+            2,
+            False,
+        ],
+    ]
+
+
+class Crowd:
+    """Clients that keep a connection and read something now and then."""
+
+    def __init__(self, daemon: site.Daemon, record: site.Record) -> None:
+        self._daemon = daemon
+        self._record = record
+        self._tasks: list[asyncio.Task[None]] = []
+        self.ended = 0
+
+    async def grow(self, count: int) -> None:
+        """Let so many more clients connect, within a second."""
+        self._record.write(f'{count} more clients connect')
+        for number in range(count):
+            self._tasks.append(
+                asyncio.create_task(self._client(len(self._tasks)))
+            )
+            if not number % 20:
+                await asyncio.sleep(0.01)
+        self._record.write(f'{len(self._tasks)} clients of the crowd in all')
+
+    async def end(self) -> None:
+        """Let all clients leave."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _client(self, number: int) -> None:
+        while True:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', self._daemon.outbound
+            )
+            try:
+                turn = 0
+                while True:
+                    turn += 1
+                    writer.write(
+                        site.request_head(
+                            'GET', '/read/x', f'read-{number}-{turn}', '', 5000
+                        )
+                    )
+                    answer = await site.read_head(reader)
+                    if answer is None:
+                        self.ended += 1
+                        break
+                    await site.read_body(reader, answer)
+                    await asyncio.sleep(READ_EVERY_S)
+            except (ConnectionError, asyncio.IncompleteReadError):
+                self.ended += 1
+            finally:
+                writer.transport.abort()
+            await asyncio.sleep(1)
+
+
+async def _use_connection(
+    daemon: site.Daemon, record: site.Record, attempt: str
 ) -> int:
     reader, writer = await asyncio.open_connection('127.0.0.1', daemon.outbound)
     try:
-        record.write(f'client: sends {attempt}, POST {path}, {len(body)} bytes')
-        writer.write(
-            site.request_head(
-                'POST',
-                path,
-                attempt,
-                f'Content-Length: {len(body)}\r\n',
-                deadline_ms,
-            )
-            + body
-        )
+        read = f'read-before-{attempt}'
+        writer.write(site.request_head('GET', '/read/x', read, '', DEADLINE_MS))
         answer = await site.read_head(reader)
-        status = 0 if answer is None else int(answer.first.split(' ')[1])
-        record.write(f'client: {attempt} is answered {status}')
-        return status
+        if answer is None:
+            raise RuntimeError(f'{read} got no answer')
+        await site.read_body(reader, answer)
+        record.write(f'client: sends {attempt} on a kept connection')
+        return await _upload(reader, writer, record, attempt)
     finally:
         writer.transport.abort()
 
 
+async def _upload(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    record: site.Record,
+    attempt: str,
+) -> int:
+    writer.write(
+        site.request_head(
+            'POST',
+            '/upload/x',
+            attempt,
+            f'Content-Length: {PARTS * PART_BYTES}\r\n',
+            DEADLINE_MS,
+        )
+    )
+    sent = 0
+    try:
+        for _ in range(PARTS):
+            writer.write(b'u' * PART_BYTES)
+            await writer.drain()
+            sent += PART_BYTES
+            await asyncio.sleep(PART_S)
+        answer = await site.read_head(reader)
+    except ConnectionError as error:
+        record.write(f'client: {attempt} ends after {sent} bytes: {error!r}')
+        return 0
+    if answer is None:
+        record.write(f'client: {attempt} gets no answer; connection closed')
+        return 0
+    await site.read_body(reader, answer)
+    record.write(f'client: {attempt} is answered: {answer.first}')
+    return int(answer.first.split(' ')[1])
+
+
 if __name__ == '__main__':
     site.main(__file__, play)
--- a/review/common-3/site_stand_in.py
+++ b/review/common-3/site_stand_in.py
@@ -144,6 +144,7 @@
     version: int = 0
     port: int = field(default_factory=free_port)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    feeds: list[str] = field(default_factory=list)
 
     async def start(self) -> asyncio.Server:
         """Listen on loopback."""
@@ -155,6 +156,10 @@
         self._set(table, key, base64.b64encode(content).decode())
         self._wake()
 
+    def feeds_of(self, table: str) -> int:
+        """Return how many calls wait for changes of a table."""
+        return self.feeds.count(table)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -187,7 +192,11 @@
             case '/rows-get':
                 return 200, self._get(fields)
             case '/rows-feed':
-                return 200, await self._feed(fields)
+                self.feeds.append(fields['table'])
+                try:
+                    return 200, await self._feed(fields)
+                finally:
+                    self.feeds.remove(fields['table'])
             case '/rows-tx':
                 return self._transact(json.loads(body))
             case _:
@@ -265,7 +274,9 @@
     }
 
 
-def configuration(version: int, routes: list[list[Any]]) -> bytes:
+def configuration(
+    version: int, routes: list[list[Any]], keys: list[str] | None = None
+) -> bytes:
     """Return a configuration with one tenant; routes are in column order."""
     services = sorted({str(route[7]) for route in routes})
     return json.dumps(
@@ -284,7 +295,7 @@
             },
             'tenants': {
                 'columns': ['name', 'api_keys', 'rate_per_s', 'burst'],
-                'rows': [[TENANT, [KEY], 0, 0]],
+                'rows': [[TENANT, keys or [KEY], 0, 0]],
             },
         }
     ).encode()
@@ -309,6 +320,15 @@
         self._memory_mb = memory_mb
         self._process: asyncio.subprocess.Process | None = None
 
+    def take_addresses(self, gone: 'Daemon') -> None:
+        """Use the addresses of a machine that is gone."""
+        self.target_port = gone.target_port
+        self.outbound = gone.outbound
+        self.inbound = gone.inbound
+        self.admin = gone.admin
+        self.readiness = gone.readiness
+        self._operators = gone._operators
+
     async def start(self, folder: Path, *, is_first: bool) -> None:
         """Start the process and wait until it is ready."""
         settings = folder / f'{self.name}.toml'
