review: case 13, nobody follows the configuration after a loss of seven

What: a script with twelve daemons of one region. The first seven in the order of the followers lose power for good; 8 s later a key is withdrawn.

How found: read decisions/followers.hosts_to_check and daemon/hostreaper: behind seven others a host checks on nobody, and a host that misses more than half of its peers removes none.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Uploads in progress while many users open connections at once."""
+"""Seven machines of twelve are lost at once, for good."""
 
 import asyncio
 import sys
@@ -10,206 +10,165 @@
 
 import site_stand_in as site
 
-USUAL = 720
-BURST_X = 1.7
-UPLOADS = 12
-PARTS = 60
-PART_BYTES = 15_000
-PART_S = 0.083
-ALLOWED = 3
-READ_EVERY_S = 3.0
-DEADLINE_MS = 6000
-BURST_AT_S = 3.3
-
-
-async def play(folder: Path, record: site.Record, has_trouble: bool) -> bool:
-    """Return whether at most three uploads ended without an answer."""
-    store = site.Store()
-    store.write('op', 'config', site.configuration(1, _routes()))
-    reached: set[str] = set()
+MACHINES = tuple(f'sidecar-a-{number}' for number in range(1, 13))
+# The first seven in the order of `decisions/hostorder`.
+FIRST = (10, 11, 8, 12, 7, 1, 2)
+CALM_S = 8.0
+CONFIG_APPLY_S = 2.0
+MARGIN_S = 0.1
+WATCH_S = 20.0
+WITHDRAWN = 'key-that-is-withdrawn'
+
+
+class Machine:
+    """A daemon and its target."""
+
+    def __init__(
+        self, name: str, service: str, store: site.Store, record: site.Record
+    ) -> None:
+        """Choose addresses."""
+        self.daemon = site.Daemon(name, service, store)
+        self.record = record
+        self.target = site.Target(self.daemon, record, self._serve)
+        self._server: asyncio.Server | None = None
+        self._beats: asyncio.Task[None] | None = None
+
+    async def start(self, folder: Path, *, is_first: bool) -> None:
+        """Start the target and the daemon."""
+        self._server = await self.target.start()
+        await self.daemon.start(folder, is_first=is_first)
+
+    async def register(self) -> None:
+        """Let the target register and send heartbeats."""
+        await self.daemon.until_ready()
+        while not await self.target.beat():
+            await asyncio.sleep(0.2)
+        self._beats = asyncio.create_task(self.target.beat_on())
 
-    async def serve(
+    async def end(self) -> None:
+        """End the machine as a loss of power does."""
+        if self._beats is not None:
+            self._beats.cancel()
+            await asyncio.gather(self._beats, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+        await self.daemon.end()
+
+    async def _serve(
+        self,
         head: site.Message,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        attempt = head.headers.get('attempt-id', '')
-        reached.add(attempt)
-        if attempt.startswith('upload'):
-            record.write(f'target: {attempt} reaches it: {head.first}')
         body = await site.read_body(reader, head)
-        if attempt.startswith('upload'):
-            record.write(f'target: runs {attempt}, {len(body)} bytes')
+        attempt = head.headers.get('attempt-id', '')
+        self.record.write(
+            f'target of {self.daemon.name}: runs {attempt}, {len(body)} bytes'
+        )
         writer.write(site.answer_of(head, b'done'))
         return True
 
+
+async def play(folder: Path, record: site.Record, has_trouble: bool) -> bool:
+    """Return whether the withdrawn key was refused in time."""
+    store = site.Store()
+    _write(store, 1, [site.KEY, WITHDRAWN])
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(await store.start())
-        daemon = site.Daemon('sidecar-1', site.SERVICE, store)
-        target = site.Target(daemon, record, serve)
-        await stack.enter_async_context(await target.start())
-        stack.push_async_callback(daemon.end)
-        await daemon.start(folder, is_first=True)
-        await daemon.until_ready()
-        while not await target.beat():
-            await asyncio.sleep(0.2)
-        crowd = Crowd(daemon, record)
-        stack.push_async_callback(crowd.end)
-        uploads = [
-            asyncio.create_task(_use_connection(daemon, record, f'upload-{n}'))
-            for n in range(UPLOADS)
-        ]
-        began = time.monotonic()
-        await asyncio.sleep(0.3)
-        await crowd.grow(USUAL - UPLOADS)
-        await asyncio.sleep(max(0, began + BURST_AT_S - time.monotonic()))
+        machines = {
+            name: Machine(name, 'booking', store, record) for name in MACHINES
+        }
+        for machine in machines.values():
+            stack.push_async_callback(machine.end)
+            await machine.start(folder, is_first=True)
+        for machine in machines.values():
+            await machine.register()
+        await asyncio.sleep(CALM_S)
+        _tell_followers(store, record)
+        lost = [f'sidecar-a-{number}' for number in FIRST]
         if has_trouble:
-            await crowd.grow(round(USUAL * BURST_X) - USUAL)
-        statuses = await asyncio.gather(*uploads)
-        lost = sum(
-            status == 0 and f'upload-{n}' in reached
-            for n, status in enumerate(statuses)
+            record.write(f'lose power for good: {lost}')
+            await asyncio.gather(*(machines[one].end() for one in lost))
+        machines = {
+            name: one for name, one in machines.items() if name not in lost
+        }
+        await asyncio.sleep(CALM_S)
+        _tell_followers(store, record)
+        _write(store, 2, [site.KEY])
+        due_at = time.monotonic() + CONFIG_APPLY_S
+        record.write('operator: version 2 withdraws a key, acknowledged')
+        await asyncio.sleep(CONFIG_APPLY_S + MARGIN_S)
+        stale = await _ask_until_refused(
+            list(machines.values()), record, due_at
         )
-        record.write(f'connections of the crowd that ended: {crowd.ended}')
+        _tell_followers(store, record)
         record.write(
-            f'{lost} of {UPLOADS} uploads were passed on to the target and '
-            f'got no answer; {ALLOWED} are allowed'
+            f'{stale} requests with the withdrawn key, sent over '
+            f'{CONFIG_APPLY_S} s after the acknowledgement, were served'
         )
-        return lost <= ALLOWED
+        return not stale
 
 
-def _routes() -> list[list[object]]:
-    return [
-        [
-            'up',
-            site.HOST,
-            '/upload/',
-            'upload',
-            '6000ms',
-            '600ms',
-            1,
-            site.SERVICE,
-            1,
-            False,
-        ],
+def _tell_followers(store: site.Store, record: site.Record) -> None:
+    count = store.feeds_of('op')
+    record.write(f'store: {count} calls wait for changes of op/config')
+
+
+def _write(store: site.Store, version: int, keys: list[str]) -> None:
+    routes = [
         [
-            'read',
+            f'book-{name}',
             site.HOST,
-            '/read/',
-            'safe',
-            '1000ms',
-            '1500ms',
-            2,
-            site.SERVICE,
+            f'/{name}/',
+            'unsafe',
+            '1200ms',
+            '2000ms',
+            0,
+            name,
             2,
             False,
-        ],
+        ]
+        for name in ('booking',)
     ]
+    store.write('op', 'config', site.configuration(version, routes, keys))
 
 
-class Crowd:
-    """Clients that keep a connection and read something now and then."""
-
-    def __init__(self, daemon: site.Daemon, record: site.Record) -> None:
-        self._daemon = daemon
-        self._record = record
-        self._tasks: list[asyncio.Task[None]] = []
-        self.ended = 0
-
-    async def grow(self, count: int) -> None:
-        """Let so many more clients connect, within a second."""
-        self._record.write(f'{count} more clients connect')
-        for number in range(count):
-            self._tasks.append(
-                asyncio.create_task(self._client(len(self._tasks)))
+async def _ask_until_refused(
+    machines: list[Machine], record: site.Record, due_at: float
+) -> int:
+    stale = 0
+    number = 0
+    while time.monotonic() < due_at + WATCH_S:
+        statuses = []
+        for machine in machines:
+            number += 1
+            late_s = time.monotonic() - due_at
+            status = await _ask(machine.daemon, f'withdrawn-{number}')
+            record.write(
+                f'client: withdrawn-{number} at {machine.daemon.name}, sent '
+                f'{late_s:.3f} s after the bound, is answered {status}'
             )
-            if not number % 20:
-                await asyncio.sleep(0.01)
-        self._record.write(f'{len(self._tasks)} clients of the crowd in all')
+            statuses.append(status)
+        stale += statuses.count(200)
+        if set(statuses) == {401}:
+            break
+        await asyncio.sleep(1)
+    return stale
 
-    async def end(self) -> None:
-        """Let all clients leave."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _client(self, number: int) -> None:
-        while True:
-            reader, writer = await asyncio.open_connection(
-                '127.0.0.1', self._daemon.outbound
-            )
-            try:
-                turn = 0
-                while True:
-                    turn += 1
-                    writer.write(
-                        site.request_head(
-                            'GET', '/read/x', f'read-{number}-{turn}', '', 5000
-                        )
-                    )
-                    answer = await site.read_head(reader)
-                    if answer is None:
-                        self.ended += 1
-                        break
-                    await site.read_body(reader, answer)
-                    await asyncio.sleep(READ_EVERY_S)
-            except (ConnectionError, asyncio.IncompleteReadError):
-                self.ended += 1
-            finally:
-                writer.transport.abort()
-            await asyncio.sleep(1)
-
-
-async def _use_connection(
-    daemon: site.Daemon, record: site.Record, attempt: str
-) -> int:
+
+async def _ask(daemon: site.Daemon, attempt: str) -> int:
     reader, writer = await asyncio.open_connection('127.0.0.1', daemon.outbound)
     try:
-        read = f'read-before-{attempt}'
-        writer.write(site.request_head('GET', '/read/x', read, '', DEADLINE_MS))
+        head = site.request_head(
+            'POST', '/booking/x', attempt, 'Content-Length: 4\r\n', 5000
+        )
+        used = f'Key: {WITHDRAWN}'.encode()
+        writer.write(head.replace(f'Key: {site.KEY}'.encode(), used) + b'slot')
         answer = await site.read_head(reader)
-        if answer is None:
-            raise RuntimeError(f'{read} got no answer')
-        await site.read_body(reader, answer)
-        record.write(f'client: sends {attempt} on a kept connection')
-        return await _upload(reader, writer, record, attempt)
+        return 0 if answer is None else int(answer.first.split(' ')[1])
     finally:
         writer.transport.abort()
 
 
-async def _upload(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    record: site.Record,
-    attempt: str,
-) -> int:
-    writer.write(
-        site.request_head(
-            'POST',
-            '/upload/x',
-            attempt,
-            f'Content-Length: {PARTS * PART_BYTES}\r\n',
-            DEADLINE_MS,
-        )
-    )
-    sent = 0
-    try:
-        for _ in range(PARTS):
-            writer.write(b'u' * PART_BYTES)
-            await writer.drain()
-            sent += PART_BYTES
-            await asyncio.sleep(PART_S)
-        answer = await site.read_head(reader)
-    except ConnectionError as error:
-        record.write(f'client: {attempt} ends after {sent} bytes: {error!r}')
-        return 0
-    if answer is None:
-        record.write(f'client: {attempt} gets no answer; connection closed')
-        return 0
-    await site.read_body(reader, answer)
-    record.write(f'client: {attempt} is answered: {answer.first}')
-    return int(answer.first.split(' ')[1])
-
-
 if __name__ == '__main__':
     site.main(__file__, play)
