review: case 13 withdraws up to four keys, one after the other

What was done: the case withdrew one key after the loss of seven machines of twelve. Whether a daemon happens to follow the configuration at that moment is chance (one that hears nothing from the others for 5 s follows for a while). The case now withdraws a second, third and fourth key, 3 s apart, as long as the rule has held.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -17,7 +17,9 @@
 CONFIG_APPLY_S = 2.0
 MARGIN_S = 0.1
 WATCH_S = 20.0
-WITHDRAWN = 'key-that-is-withdrawn'
+PAUSE_S = 3.0
+# Each is withdrawn by a version of its own, until the rule is broken.
+WITHDRAWN = ('key-1', 'key-2', 'key-3', 'key-4')
 
 
 class Machine:
@@ -70,9 +72,9 @@
 
 
 async def play(folder: Path, record: site.Record, has_trouble: bool) -> bool:
-    """Return whether the withdrawn key was refused in time."""
+    """Return whether the withdrawn keys were refused in time."""
     store = site.Store()
-    _write(store, 1, [site.KEY, WITHDRAWN])
+    _write(store, 1, [site.KEY, *WITHDRAWN])
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(await store.start())
         machines = {
@@ -93,20 +95,23 @@
             name: one for name, one in machines.items() if name not in lost
         }
         await asyncio.sleep(CALM_S)
-        _tell_followers(store, record)
-        _write(store, 2, [site.KEY])
-        due_at = time.monotonic() + CONFIG_APPLY_S
-        record.write('operator: version 2 withdraws a key, acknowledged')
-        await asyncio.sleep(CONFIG_APPLY_S + MARGIN_S)
-        stale = await _ask_until_refused(
-            list(machines.values()), record, due_at
-        )
-        _tell_followers(store, record)
-        record.write(
-            f'{stale} requests with the withdrawn key, sent over '
-            f'{CONFIG_APPLY_S} s after the acknowledgement, were served'
-        )
-        return not stale
+        for number, key in enumerate(WITHDRAWN, start=1):
+            _tell_followers(store, record)
+            _write(store, 1 + number, [site.KEY, *WITHDRAWN[number:]])
+            due_at = time.monotonic() + CONFIG_APPLY_S
+            record.write(f'operator: {key} is withdrawn, acknowledged')
+            await asyncio.sleep(CONFIG_APPLY_S + MARGIN_S)
+            stale = await _ask_until_refused(
+                list(machines.values()), record, key, due_at
+            )
+            record.write(
+                f'{stale} requests with {key}, sent over {CONFIG_APPLY_S} s '
+                'after the acknowledgement, were served'
+            )
+            if stale:
+                return False
+            await asyncio.sleep(PAUSE_S)
+        return True
 
 
 def _tell_followers(store: site.Store, record: site.Record) -> None:
@@ -134,7 +139,7 @@
 
 
 async def _ask_until_refused(
-    machines: list[Machine], record: site.Record, due_at: float
+    machines: list[Machine], record: site.Record, key: str, due_at: float
 ) -> int:
     stale = 0
     number = 0
@@ -143,9 +148,9 @@
         for machine in machines:
             number += 1
             late_s = time.monotonic() - due_at
-            status = await _ask(machine.daemon, f'withdrawn-{number}')
+            status = await _ask(machine.daemon, key, f'{key}-{number}')
             record.write(
-                f'client: withdrawn-{number} at {machine.daemon.name}, sent '
+                f'client: {key}-{number} at {machine.daemon.name}, sent '
                 f'{late_s:.3f} s after the bound, is answered {status}'
             )
             statuses.append(status)
@@ -156,13 +161,13 @@
     return stale
 
 
-async def _ask(daemon: site.Daemon, attempt: str) -> int:
+async def _ask(daemon: site.Daemon, key: str, attempt: str) -> int:
     reader, writer = await asyncio.open_connection('127.0.0.1', daemon.outbound)
     try:
         head = site.request_head(
             'POST', '/booking/x', attempt, 'Content-Length: 4\r\n', 5000
         )
-        used = f'Key: {WITHDRAWN}'.encode()
+        used = f'Key: {key}'.encode()
         writer.write(head.replace(f'Key: {site.KEY}'.encode(), used) + b'slot')
         answer = await site.read_head(reader)
         return 0 if answer is None else int(answer.first.split(' ')[1])
