--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,5 @@
 set -eu
 cd "$(dirname "$0")"
 for folder in common-3 11 12 13 14 15; do
-    if [ -d "$folder" ]; then
-        python3 -m compileall -q "$folder"
-    fi
+    python3 -m compileall -q -f "$folder"
 done
