Count what answers at an address as the host that it names

Cause: a host that compares with a peer counted whoever answered at the peer's address as the peer. So the lost hosts stayed followers of the store for good, no standby doubted them, and nobody followed. A push of an own leaving counted as told in the same way, and the check before a row is removed as answered.

Why this works: each message names its sender. One that names another host is learnt from, but the host that was asked counts as unreached; a line `answered_by_another` tells of both.

Tests, on the code before: test_configuration_after_all_followers_are_replaced, test_host_that_another_one_answers_for and test_departures_that_another_host_heard all failed; they pass now.

--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -299,7 +299,11 @@
     async def _send(
         self, place: Place, message: sitewire.SiteGossip
     ) -> sitewire.SiteGossip | None:
-        """Send a message; return the answer, None where there is none."""
+        """Send a message; return the answer of the host, None if none came.
+
+        Another host may have the address by now. What it tells counts as its
+        own, and the host that was asked as one that did not answer.
+        """
         content = sitewire.encode_gossip(message)
         try:
             async with asyncio.timeout(GOSSIP_TIMEOUT_S):
@@ -309,8 +313,14 @@
         except (LinkLost, TimeoutError):
             return None
         received = sitewire.decode_gossip(reply)
-        if received is not None:
-            self._learn(received)
+        if received is None:
+            return None
+        self._learn(received)
+        if received.sender != place.host:
+            _log.info(
+                'answered_by_another', peer=place.host, sender=received.sender
+            )
+            return None
         return received
 
     async def _tell_stopping_to(self, peer: SiteEntry) -> None:
--- /dev/null
+++ b/tests/platform/test_reused_addresses.py
@@ -0,0 +1,85 @@
+"""Machines are lost for good, and others get their addresses."""
+
+import asyncio
+
+import testtools
+
+from asyncrun import run_async
+from dragonflyknot.daemon import sitemembers
+from dragonflyknot.decisions.followers import FOLLOWERS_PER_REGION
+from dragonflyknot.decisions.hostorder import position_of
+from sitefleet import SiteFleet, configuration
+
+HOSTS = 8
+FOLLOWING_S = sitemembers.FOLLOW_AFTER_S + 2
+
+
+class ReusedAddressTest(testtools.TestCase):
+    """Whoever answers at an address counts as the host that it names."""
+
+    # Guards against a region that nobody follows the store for, as other
+    # machines answer at the addresses of the first ones.
+    def test_configuration_after_all_followers_are_replaced(self) -> None:
+        """Put a version in force that comes after the replacements."""
+
+        async def body() -> None:
+            async with SiteFleet(HOSTS) as fleet:
+                await asyncio.sleep(FOLLOWING_S)
+                for number in _order(fleet)[:FOLLOWERS_PER_REGION]:
+                    await fleet.replace(number, _last_name(fleet))
+                await asyncio.sleep(FOLLOWING_S)
+                fleet.store.write('op', 'config', configuration(7, keys=()))
+                await fleet.until(lambda: fleet.all_have(7))
+                reply = await fleet.ask(0)
+                self.assertEqual(401, reply.status)
+
+        run_async(body())
+
+    # Guards against a lost host whose row stays for good, as the next machine
+    # at its address answers for it.
+    def test_host_that_another_one_answers_for(self) -> None:
+        """Count a host as unreached if another one answers."""
+
+        async def body() -> None:
+            async with SiteFleet(3) as fleet:
+                await fleet.replace(1, 'host-new')
+                gossip = fleet.hosts[0].members.gossip
+                self.assertFalse(await gossip.reaches('host-1'))
+                self.assertIn('host-1', gossip.unreached_since_by_host)
+
+        run_async(body())
+
+    # Guards against departures that count as told, though the peer that was
+    # meant to answer for this host doesn't live any more.
+    def test_departures_that_another_host_heard(self) -> None:
+        """Tell departures again if another host answered."""
+
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                await fleet.stop_store()
+                leaving = fleet.hosts[0].members
+                own = leaving.view.own
+                assert own is not None
+                await fleet.replace(1, 'host-new')
+                message = leaving.gossip._gossip([own])
+                peers = [leaving.view.entries_by_host['host-1']]
+                self.assertFalse(
+                    await leaving.gossip._push_to(peers, message)
+                )
+
+        run_async(body())
+
+
+def _order(fleet: SiteFleet) -> list[int]:
+    """Return the numbers of the hosts in the order that they all derive."""
+    return sorted(
+        range(len(fleet.hosts)),
+        key=lambda number: position_of(fleet.settings[number].host),
+    )
+
+
+def _last_name(fleet: SiteFleet) -> str:
+    """Return a new name that comes after those of all hosts in order."""
+    last = max(position_of(one.host) for one in fleet.settings)
+    names = (f'new-{number}' for number in range(10_000))
+    return next(name for name in names if position_of(name) > last)
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -164,6 +164,20 @@
         await self.until(self.all_ready)
         return host
 
+    async def lose(self, number: int) -> None:
+        """End a host for good, together with its upstream."""
+        lost = self.hosts.pop(number)
+        self.settings.pop(number)
+        self.upstreams.pop(number)
+        await lost.__aexit__(None, None, None)
+
+    async def replace(self, number: int, name: str) -> SiteHost:
+        """End a host for good, and start another one at its addresses."""
+        await self.hosts[number].__aexit__(None, None, None)
+        self.settings[number] = replace(self.settings[number], host=name)
+        self.upstreams[number].instance = f'i-{name}'
+        return await self.start(number)
+
     async def announce(
         self,
         number: int,
