Take a meter's reply only from the meter itself

What callers could see: a part of the hosts that reported to a second meter, which granted their shares of a rate beside the first one.

Cause: `SiteRates._ask` took the reply at the meter's address as the meter's. After the meter was lost and another machine had its address, the hosts that still listed the lost one reported to the other machine.

Evidence: test_meter_that_is_replaced, failed before (TimeoutError: the next host in the order had not got the reports of all four hosts in 7.5 s), passes now.

Why this works: the reply names its host. If it is another one, the meter counts as lost, as if nothing had answered, and the next host in the order is asked. Replies that name no host are of earlier releases and are taken.

--- a/packages/daemon/src/dragonflyknot/daemon/siterates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siterates.py
@@ -110,7 +110,8 @@
         """Answer a demand report of a peer."""
         report = demandwire.decode_report(content)
         reply = MeterReply() if report is None else self._measure(report)
-        return demandwire.encode_meter_reply(reply)
+        response = demandwire.MeterResponse(self._host, reply)
+        return demandwire.encode_meter_response(response)
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -159,11 +160,19 @@
                     demandwire.encode_report(report),
                 )
         except (LinkLost, TimeoutError):
-            _log.info('meter_lost', meter=meter.host)
-            self._choice.avoid(meter.host, time.monotonic())
-            self._urgent.set()
+            self._avoid(meter)
+            return None
+        response = demandwire.decode_meter_response(content)
+        if not response.is_from(meter.host):
+            # It would grant shares beside the meter that the others use.
+            self._avoid(meter, answered_by=response.host)
             return None
-        return demandwire.decode_meter_reply(content)
+        return response.reply
+
+    def _avoid(self, meter: Place, answered_by: str = '') -> None:
+        _log.info('meter_lost', meter=meter.host, answered_by=answered_by)
+        self._choice.avoid(meter.host, time.monotonic())
+        self._urgent.set()
 
     def _measure(self, report: demandwire.DemandReport) -> MeterReply:
         reply = self._meter.record_report(
--- a/packages/peers/src/dragonflyknot/peers/demandwire.py
+++ b/packages/peers/src/dragonflyknot/peers/demandwire.py
@@ -31,6 +31,18 @@
     demand: Mapping[str, WorkspaceDemand]
 
 
+@dataclass(frozen=True, slots=True)
+class MeterResponse:
+    """The reply of a meter and its host, empty if it does not name itself."""
+
+    host: str
+    reply: MeterReply
+
+    def is_from(self, host: str) -> bool:
+        """Tell whether a host replied; earlier releases name none."""
+        return self.host in {'', host}
+
+
 def encode_report(report: DemandReport) -> bytes:
     """Encode a demand report as JSON."""
     fields = {
@@ -52,9 +64,11 @@
         return None
 
 
-def encode_meter_reply(reply: MeterReply) -> bytes:
-    """Encode the reply of a meter as JSON."""
+def encode_meter_response(response: MeterResponse) -> bytes:
+    """Encode the response of a meter as JSON."""
+    reply = response.reply
     fields = {
+        'host': response.host,
         'granting': reply.is_granting,
         'allowances': {
             workspace: [
@@ -67,13 +81,13 @@
     return json.dumps(fields, separators=(',', ':')).encode()
 
 
-def decode_meter_reply(content: bytes) -> MeterReply:
-    """Decode the reply of a meter; nothing is granted if malformed."""
+def decode_meter_response(content: bytes) -> MeterResponse:
+    """Decode the response of a meter; nothing is granted if malformed."""
     try:
-        return _decode_reply_fields(Fields(read_json(content), 'reply'))
+        return _decode_response_fields(Fields(read_json(content), 'reply'))
     except ValueError as error:
         _faults.write('meter_reply_malformed', fault=str(error))
-        return MeterReply()
+        return MeterResponse('', MeterReply())
 
 
 def _decode_report_fields(fields: Fields) -> DemandReport:
@@ -85,14 +99,15 @@
     return DemandReport(fields.string('host'), demand)
 
 
-def _decode_reply_fields(fields: Fields) -> MeterReply:
+def _decode_response_fields(fields: Fields) -> MeterResponse:
     pairs = _decode_pairs(fields.record('allowances'))
     allowances = {
         workspace: Allowance(fleet_per_s, allowed_per_s)
         for workspace, fleet_per_s, allowed_per_s in pairs
     }
     is_granting = fields.boolean('granting', default=False)
-    return MeterReply(is_granting, allowances)
+    reply = MeterReply(is_granting, allowances)
+    return MeterResponse(fields.string('host', ''), reply)
 
 
 def _decode_pairs(record: Fields) -> Iterator[tuple[str, float, float]]:
--- a/tests/platform/test_reused_addresses.py
+++ b/tests/platform/test_reused_addresses.py
@@ -5,7 +5,7 @@
 import testtools
 
 from asyncrun import run_async
-from dragonflyknot.daemon import sitemembers
+from dragonflyknot.daemon import hostreaper, sitemembers
 from dragonflyknot.decisions.followers import FOLLOWERS_PER_REGION
 from dragonflyknot.decisions.hostorder import position_of
 from sitefleet import SiteFleet, configuration
@@ -70,6 +70,26 @@
         run_async(body())
 
 
+class ReusedMeterAddressTest(testtools.TestCase):
+    """A host that has the address of the lost meter isn't the meter."""
+
+    # Guards against a site that is metered at two hosts, as some ask whoever
+    # has the address of a lost meter.
+    def test_meter_that_is_replaced(self) -> None:
+        """Let all hosts report to the next one in order."""
+
+        async def body() -> None:
+            async with SiteFleet(4) as fleet:
+                lost, heir, *_others = _order(fleet)
+                await fleet.replace(lost, _last_name(fleet))
+                rates = fleet.hosts[heir].rates
+                # Long before the row of the lost host is removed.
+                async with asyncio.timeout(hostreaper.LOST_AFTER_S / 2):
+                    await fleet.until(lambda: rates.reporting_hosts == 4)
+
+        run_async(body())
+
+
 def _order(fleet: SiteFleet) -> list[int]:
     """Return the numbers of the hosts in the order that they all derive."""
     return sorted(
--- a/tests/unit/test_demand_wire.py
+++ b/tests/unit/test_demand_wire.py
@@ -31,8 +31,9 @@
         reply = MeterReply(
             is_granting=True, allowances={'w': Allowance(3.5, 2.25)}
         )
-        content = demandwire.encode_meter_reply(reply)
-        self.assertEqual(reply, demandwire.decode_meter_reply(content))
+        response = demandwire.MeterResponse('h', reply)
+        content = demandwire.encode_meter_response(response)
+        self.assertEqual(response, demandwire.decode_meter_response(content))
 
     def test_malformed_reply(self) -> None:
         """Grant nothing by a reply that cannot be read."""
@@ -44,7 +45,7 @@
             b'{"granting":true,"allowances":{"w":[1]}}',
             b'{"granting":"yes","allowances":{}}',
         ):
-            reply = demandwire.decode_meter_reply(content)
+            reply = demandwire.decode_meter_response(content).reply
             self.assertEqual(MeterReply(), reply, str(content))
 
     # Guards against a host that stops to report at what it can't read.
@@ -59,7 +60,7 @@
             b'{"granting":true,"allowances":{"w":%b}}' % pair for pair in pairs
         ]
         for content in (NESTED, *replies):
-            reply = demandwire.decode_meter_reply(content)
+            reply = demandwire.decode_meter_response(content).reply
             self.assertEqual(MeterReply(), reply, str(content[:90]))
 
     @settings(derandomize=True, deadline=None, database=None)
@@ -71,5 +72,5 @@
         report = demandwire.decode_report(content)
         if report is not None:
             demandwire.encode_report(report)
-        reply = demandwire.decode_meter_reply(content)
-        demandwire.encode_meter_reply(reply)
+        response = demandwire.decode_meter_response(content)
+        demandwire.encode_meter_response(response)
