Book a gate's load only on the host that it names

What callers could see: a lost host whose address another machine has stays in use, with the load of the other gate; attempts sent to it are refused there (a second attempt each time) or come on top of those that the other gate gets itself.

Cause: `SiteSender._record_report` took whoever answered as the candidate that the attempt was sent to. With a gate of another service, even whether the service makes calls was read from the wrong upstream.

Evidence: test_load_of_another_gate, failed before ("is not:": the lost host had a load), passes now.

Why this works: the report names its host, in a field that earlier releases ignore.

--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -204,6 +204,7 @@
     async def _listen(self, stack: AsyncExitStack) -> None:
         settings = self.settings
         receiver = SiteReceiver(
+            settings.host,
             self.gate,
             self._control,
             self.platform.dialect.request_id,
--- a/packages/decisions/src/dragonflyknot/decisions/balancer.py
+++ b/packages/decisions/src/dragonflyknot/decisions/balancer.py
@@ -13,6 +13,7 @@
 
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.candidates import (
+    MAX_BACKOFF_S,
     MAX_ROUTES,
     NEAREST_S,
     Candidate,
@@ -181,6 +182,11 @@
         if candidate is not None:
             candidate.backoff_until = now + DRAINING_BACKOFF_S
 
+    def record_replaced(self, candidate: Candidate, now: float) -> None:
+        """Record that another host answers at the address of a candidate."""
+        candidate.load = None
+        candidate.backoff_until = now + MAX_BACKOFF_S
+
     def _service_mean_s(self, service: str, route: str, now: float) -> float:
         """Return the mean latency of a route over the hosts of a service."""
         service_mean = self._mean_by_service_route.get((service, route))
--- a/packages/exchange/src/dragonflyknot/exchange/hopheaders.py
+++ b/packages/exchange/src/dragonflyknot/exchange/hopheaders.py
@@ -27,6 +27,7 @@
 _IS_RETRY_FIELD: Final = slice(9, 10)
 _MAY_WAIT_FIELD: Final = slice(10, 11)
 _MAKES_CALLS_FIELD: Final = slice(5, 6)
+_HOST_FIELD: Final = slice(6, 7)
 _FALSE: Final = b'0'
 _TRUE: Final = b'1'
 _OFFERED: Final = b'offered'
@@ -62,11 +63,17 @@
 class GateReport:
     """Hold what a gate reports with every response.
 
-    `version` is the configuration version of its daemon.
+    `version` is the configuration version of its daemon, and `host` names
+    it; earlier releases leave the name empty.
     """
 
     load: Load
     version: int
+    host: str = ''
+
+    def is_from(self, host: str) -> bool:
+        """Tell whether a host reported, and not another one in its place."""
+        return self.host in {'', host}
 
 
 def encode_hop(hop: Hop) -> bytes:
@@ -118,13 +125,14 @@
 def encode_gate_report(report: GateReport) -> bytes:
     """Return the header value of a gate's report."""
     load = report.load
-    return b'%b,%d,%d,%d,%d,%d' % (
+    return b'%b,%d,%d,%d,%d,%d,%b' % (
         load.state.value.encode(),
         load.slots,
         load.running,
         load.waiting,
         report.version,
         load.makes_calls,
+        _quote_names(report.host),
     )
 
 
@@ -141,6 +149,7 @@
     try:
         state = UpstreamState(fields[0].decode())
         numbers = [int(field) for field in fields[1:_MIN_LOAD_FIELDS]]
+        names = [_unquote_name(field) for field in fields[_HOST_FIELD]]
     except ValueError:
         return None
     slots, running, waiting, version = numbers
@@ -148,7 +157,9 @@
         return None
     makes_calls = fields[_MAKES_CALLS_FIELD] != [_FALSE]
     return GateReport(
-        Load(state, slots, running, waiting, makes_calls), version
+        Load(state, slots, running, waiting, makes_calls),
+        version,
+        ''.join(names),
     )
 
 
--- a/packages/peers/src/dragonflyknot/peers/sitelinks.py
+++ b/packages/peers/src/dragonflyknot/peers/sitelinks.py
@@ -216,9 +216,14 @@
         report = hopheaders.decode_gate_report(
             answer.head.get(dialect.HOP_LOAD)
         )
-        if report is not None:
-            self._balancer.record_load(candidate, report.load, time.monotonic())
-            self._on_version(report.version, candidate.place.address)
+        if report is None:
+            return
+        now = time.monotonic()
+        if report.is_from(candidate.place.host):
+            self._balancer.record_load(candidate, report.load, now)
+        else:
+            self._balancer.record_replaced(candidate, now)
+        self._on_version(report.version, candidate.place.address)
 
 
 class SiteReceiver:
@@ -226,6 +231,7 @@
 
     def __init__(
         self,
+        host: str,
         gate: LocalGate,
         control: ControlHandler,
         request_id: bytes,
@@ -233,6 +239,7 @@
         on_version: Callable[[int], None],
     ) -> None:
         """Use the local gate and a handler of control messages."""
+        self._host = host
         self._gate = gate
         self._control = control
         self._request_id_header = request_id.lower()
@@ -295,7 +302,9 @@
         await self._answer(request, await self._gate.run(hop, outgoing))
 
     async def _answer(self, request: Request, outcome: Outcome) -> None:
-        report = hopheaders.GateReport(self._gate.load(), self._version())
+        report = hopheaders.GateReport(
+            self._gate.load(), self._version(), self._host
+        )
         load_line = (
             b'Dragonflyknot-Load: %b\r\n'
             % hopheaders.encode_gate_report(report)
--- a/tests/platform/test_reused_addresses.py
+++ b/tests/platform/test_reused_addresses.py
@@ -1,11 +1,13 @@
 """Machines are lost for good, and others get their addresses."""
 
 import asyncio
+import time
 
 import testtools
 
 from asyncrun import run_async
 from dragonflyknot.daemon import hostreaper, sitemembers
+from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.followers import FOLLOWERS_PER_REGION
 from dragonflyknot.decisions.hostorder import position_of
 from sitefleet import SiteFleet, configuration
@@ -90,6 +92,30 @@
         run_async(body())
 
 
+class ReusedGateAddressTest(testtools.TestCase):
+    """The load of a gate is that of the host that it names."""
+
+    # Guards against a lost host that stays in use with the load of whoever
+    # has its address, and takes attempts that the other one gets too.
+    def test_load_of_another_gate(self) -> None:
+        """Book no load on a host if another one answers for it."""
+
+        async def body() -> None:
+            async with SiteFleet(2) as fleet:
+                await fleet.replace(1, 'host-new')
+                await fleet.announce(0, UpstreamState.DRAINING)
+                for _request in range(20):
+                    reply = await fleet.ask(0)
+                    self.assertEqual(200, reply.status)
+                balancer = fleet.hosts[0].balancer
+                lost = balancer.candidate('host-1')
+                assert lost is not None
+                self.assertIsNone(lost.load)
+                self.assertFalse(lost.has_room(time.monotonic()))
+
+        run_async(body())
+
+
 def _order(fleet: SiteFleet) -> list[int]:
     """Return the numbers of the hosts in the order that they all derive."""
     return sorted(
--- a/tests/unit/test_hop_heads.py
+++ b/tests/unit/test_hop_heads.py
@@ -33,7 +33,7 @@
         self.assertEqual(HOP, hopheaders.decode_hop(text).unwrap())
         for makes_calls in (True, False):
             load = Load(UpstreamState.DRAINING, 10, 3, 2, makes_calls)
-            report = hopheaders.GateReport(load, 9)
+            report = hopheaders.GateReport(load, 9, 'host, 1')
             decoded = hopheaders.decode_gate_report(
                 hopheaders.encode_gate_report(report)
             )
@@ -57,6 +57,7 @@
         report = hopheaders.decode_gate_report(b'ready,1,1,1,1')
         assert report is not None
         self.assertTrue(report.load.makes_calls)
+        self.assertTrue(report.is_from('any host'))
 
     def test_malformed(self) -> None:
         """Reject malformed headers."""
