Let each host ask the one before it who follows the store

A key that was withdrawn 8 s later was served for seconds to tens of seconds over the bound.

Cause: who follows was worked out at each host from its list of hosts and its own doubts. Three hosts followed, four standbys checked on them, and whoever came later relied on these seven. With all of them lost, the others checked on nobody, and doubted a lost host for 3 s only after a random comparison. The list keeps the lost ones: a host that reaches less than half of the others removes nobody.

Why this works: each host asks the nearest one before it in the order how many follow up to there, every 0.6 s, and goes back over hosts that don't answer, or answer in another name, in batches that grow. The first host that lives finds nobody before it and follows, whatever the list says. A host whose status changes tells the next one. Hosts that are chosen but that the store doesn't answer hold later ones back only for a while, and rest longer the more of them try.

--- a/packages/daemon/src/dragonflyknot/daemon/follower.py
+++ b/packages/daemon/src/dragonflyknot/daemon/follower.py
@@ -50,28 +50,37 @@
         *,
         wait_s: float,
         is_wanted: Callable[[], bool] | None = None,
+        backoff_ratio: Callable[[], float] | None = None,
         pause_s: float = 0,
     ) -> None:
         """Keep who is told.
 
         `wait_s` is how long a call waits for changes, and `pause_s` how long
         changes may gather. `is_wanted` tells whether to follow the feed, which
-        is always done where it is not given.
+        is always done where it is not given. `backoff_ratio` tells how much
+        longer than usual to rest while the store does not answer.
         """
         self._store = store
         self._table = table
         self._read = read
         self._changed = changed
         self._is_wanted = is_wanted or _always
+        self._backoff_ratio = backoff_ratio or _usual
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._due = asyncio.Event()
+        self._awake = asyncio.Event()
         self._version: StoreVersion | None = None
         self._failures = 0
         self.is_current = False
         self.is_reachable = True
+        self._listeners: list[Callable[[], None]] = []
         store.subscribe(self._restored)
 
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever `is_current` has changed."""
+        self._listeners.append(listener)
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -85,6 +94,11 @@
     def read_soon(self) -> None:
         """Read the rows once more, unless the feed is followed."""
         self._due.set()
+        self.wake()
+
+    def wake(self) -> None:
+        """Ask at once whether the feed is to be followed."""
+        self._awake.set()
 
     def cancel_read(self) -> None:
         """Drop a read that was asked for and has not been answered yet."""
@@ -129,9 +143,12 @@
         return snapshot
 
     def _set_current(self, *, is_current: bool) -> None:
-        if is_current != self.is_current:
-            _log.info('following', table=self._table, is_following=is_current)
+        if is_current == self.is_current:
+            return
         self.is_current = is_current
+        _log.info('following', table=self._table, is_following=is_current)
+        for listener in self._listeners:
+            listener()
 
     def _restored(self) -> None:
         loop = asyncio.get_running_loop()
@@ -152,9 +169,10 @@
         )
 
     async def _rest(self) -> None:
+        self._awake.clear()
         with suppress(TimeoutError):
             async with asyncio.timeout(REST_S * (0.5 + random.random())):
-                await self._due.wait()
+                await self._awake.wait()
 
     def _regained(self) -> None:
         if self._failures:
@@ -168,8 +186,13 @@
         self.is_reachable = False
         self._failures += 1
         longest = min(LONGEST_BACKOFF_S, BACKOFF_S * self._failures)
+        longest *= self._backoff_ratio()
         await asyncio.sleep(longest * (0.5 + random.random() / 2))
 
 
 def _always() -> bool:
     return True
+
+
+def _usual() -> float:
+    return 1
--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -2,8 +2,7 @@
 
 News are pushed to some peers at once, and one comparison with a random peer a
 second finds what that missed. So is the version of a new configuration, which
-peers then fetch. All go on while the store is out. Standbys also check on the
-hosts that follow the store for their region.
+peers then fetch. All go on while the store is out.
 """
 
 import asyncio
@@ -18,8 +17,8 @@
 from dragonflyknot.daemon.peerchoice import PeerChoice
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SiteSettings
+from dragonflyknot.daemon.tasks import jittered
 from dragonflyknot.decisions.candidates import Place
-from dragonflyknot.decisions.followers import FollowerChoice
 from dragonflyknot.decisions.siteview import SiteEntry, SiteView, Stamps
 from dragonflyknot.decisions.upstreamdepartures import Departures
 from dragonflyknot.exchange.clientlink import LinkLost
@@ -28,7 +27,6 @@
 
 GOSSIP_INTERVAL_S: Final = 1.0
 GOSSIP_TIMEOUT_S: Final = 0.5
-CHECK_INTERVAL_S: Final = 1.0
 SAME_DATA_CENTER_SHARE: Final = 0.75
 MAX_ENTRIES: Final = 200
 MAX_TOLD_PEERS: Final = 64
@@ -72,8 +70,7 @@
 class PeerGossip:
     """Exchange entries with peers.
 
-    `choice` chooses them, and `followers` tells who follows the store for the
-    region.
+    `choice` chooses them.
     `unreached_since_by_host` holds the monotonic time since which a peer has
     not answered, `heard_at` the time of the last message of any peer.
     """
@@ -95,13 +92,28 @@
         self._to_push: dict[str, SiteEntry] = {}
         self._has_news = asyncio.Event()
         self._has_version = asyncio.Event()
-        self.followers = FollowerChoice(settings.host, settings.region)
         policy.subscribe(lambda _configuration: self._has_version.set())
         self.unreached_since_by_host: dict[str, float] = {}
         self.heard_at = time.monotonic()
         self.choice = PeerChoice(settings, view)
         self._told_departures: Departures = ()
 
+    def learn_of(self, sender: str, version: int) -> None:
+        """Record that a host sent a message, and the version that it has."""
+        self.heard_at = time.monotonic()
+        known = self._view.entries_by_host.get(sender)
+        # A new host is not known yet.
+        address = '' if known is None else known.place.address
+        self._policy.record_peer_version(version, address)
+
+    def record_answer(self, place: Place) -> None:
+        """Record that a host answered."""
+        self.unreached_since_by_host.pop(place.host, None)
+
+    def record_silence(self, place: Place) -> None:
+        """Record that a host did not answer."""
+        self.unreached_since_by_host.setdefault(place.host, time.monotonic())
+
     def publish(self, entries: Iterable[SiteEntry]) -> None:
         """Push changed entries to some peers soon."""
         for entry in entries:
@@ -147,7 +159,7 @@
         if greeted or not self._settings.is_first_start:
             self._policy.record_peers_asked()
         while True:
-            await asyncio.sleep(_jittered(GOSSIP_INTERVAL_S))
+            await asyncio.sleep(jittered(GOSSIP_INTERVAL_S))
             is_near = random.random() < SAME_DATA_CENTER_SHARE
             compared = [
                 self._gossip_with(peer.place)
@@ -159,17 +171,6 @@
             ]
             await asyncio.gather(*compared, *leaving)
 
-    async def check_followers_on(self) -> None:
-        """Check on the followers that this host is a standby for."""
-        while True:
-            await asyncio.sleep(_jittered(CHECK_INTERVAL_S))
-            checked = self.followers.hosts_to_check(
-                self._view.entries_by_host.values(), time.monotonic()
-            )
-            await asyncio.gather(
-                *(self._gossip_with(one.place) for one in checked)
-            )
-
     async def push_on(self) -> None:
         """Push news to some peers as it comes."""
         while True:
@@ -217,24 +218,11 @@
         )
 
     def _learn(self, received: sitewire.SiteGossip) -> None:
-        """Apply what every message of a peer tells."""
-        self.heard_at = time.monotonic()
-        sender = self._view.entries_by_host.get(received.sender)
-        if sender is None:
-            # A new host, or one of a release that does not name itself.
-            self._policy.record_peer_version(received.version)
-        else:
-            self._learn_of(sender.place, received)
+        """Apply what every gossip message of a peer tells."""
+        self.learn_of(received.sender, received.version)
         self._membership.record_epoch(received.epoch)
         self._membership.merge(received.entries)
 
-    def _learn_of(self, place: Place, received: sitewire.SiteGossip) -> None:
-        self._policy.record_peer_version(received.version, place.address)
-        if received.has_store:
-            self.followers.end_doubt(place.host)
-        else:
-            self.followers.record_doubt(place.host, self.heard_at)
-
     def _reply(self, received: sitewire.SiteGossip) -> sitewire.SiteGossip:
         own = self._view.entries_by_host
         wanted = {host: own[host] for host in received.wants if host in own}
@@ -268,9 +256,9 @@
     async def _gossip_with(self, place: Place) -> None:
         """Compare with a host, and record whether it answered."""
         if await self._compare_with(place):
-            self.unreached_since_by_host.pop(place.host, None)
+            self.record_answer(place)
         else:
-            self._unreached(place)
+            self.record_silence(place)
 
     async def _compare_with(self, place: Place) -> bool:
         """Exchange what one of two hosts lacks; return whether it answered."""
@@ -337,12 +325,3 @@
                 peer=peer.place.host,
                 error=type(error).__name__,
             )
-
-    def _unreached(self, place: Place) -> None:
-        now = time.monotonic()
-        self.unreached_since_by_host.setdefault(place.host, now)
-        self.followers.record_doubt(place.host, now)
-
-
-def _jittered(interval_s: float) -> float:
-    return interval_s * (0.75 + random.random() / 2)
--- a/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siteadmin.py
@@ -112,6 +112,8 @@
         members = self._host.members
         yield f'dragonflyknot_members {len(members.entries())}'
         yield f'dragonflyknot_following {int(policy.is_following)}'
+        preceding = members.following.preceding.following
+        yield f'dragonflyknot_preceding_followers {preceding}'
         yield f'dragonflyknot_store_reachable {int(members.has_store)}'
         yield f'dragonflyknot_heard_from_peers_s {members.silent_s:.3f}'
         yield f'dragonflyknot_configuration_version {policy.version}'
--- a/packages/daemon/src/dragonflyknot/daemon/sitehost.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitehost.py
@@ -37,7 +37,7 @@
     serving,
 )
 from dragonflyknot.exchange.telemetry import RateLimitedLog
-from dragonflyknot.peers import demandwire, sitewire
+from dragonflyknot.peers import demandwire, followerwire, sitewire
 from dragonflyknot.peers.sitelinks import PeerLinks, SiteReceiver, SiteSender
 from dragonflyknot.upstreams.sitegate import SiteGate
 
@@ -73,6 +73,7 @@
             self.links,
             self._peers,
             self._is_follower,
+            self._backoff_ratio,
             is_first_start=settings.is_first_start,
         )
         self.members = SiteMembers(
@@ -239,6 +240,8 @@
         match path:
             case sitewire.GOSSIP_PATH:
                 return self.members.gossip.answer(content)
+            case followerwire.FOLLOWERS_PATH:
+                return self.members.following.answer(content)
             case demandwire.DEMAND_PATH:
                 return self.rates.answer(content)
             case sitewire.CONFIGURATION_PATH:
@@ -256,6 +259,9 @@
     def _is_follower(self) -> bool:
         return self.members.is_follower()
 
+    def _backoff_ratio(self) -> float:
+        return self.members.following.backoff_ratio
+
     def _configured(self, configuration: SiteConfiguration) -> None:
         limits = self._caller_limits
         limits.head_bytes = configuration.limits.head_bytes
--- a/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitemembers.py
@@ -25,6 +25,7 @@
 from dragonflyknot.daemon.peergossip import PeerGossip
 from dragonflyknot.daemon.sitepolicy import SitePolicy
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
+from dragonflyknot.daemon.storefollowing import StoreFollowing
 from dragonflyknot.daemon.tasks import keep_running
 from dragonflyknot.daemon.timeofday import unix_ms
 from dragonflyknot.decisions.balancer import Balancer
@@ -46,9 +47,6 @@
 # How long a restarted host waits for its own row, which says what an earlier
 # process has acknowledged, before it goes by what peers know.
 OWN_ROW_S: Final = 3.0
-# New hosts learn who precedes them before they follow.
-FOLLOW_AFTER_S: Final = 2.5
-ISOLATED_AFTER_S: Final = 5.0
 # Longest wait for the upstream's first announcement at a first start.
 FIRST_ANNOUNCEMENT_S: Final = 4.0
 # Hosts read a restored store one after another.
@@ -80,6 +78,7 @@
             self.record_rows,
             wait_s=FEED_WAIT_S,
             is_wanted=self.is_follower,
+            backoff_ratio=lambda: self.following.backoff_ratio,
             pause_s=FEED_PAUSE_S,
         )
         if not settings.is_first_start:
@@ -98,10 +97,19 @@
         )
         self._own_row: bytes | None = None
         self._epoch = 0
-        # Monotonic time since which the own entry is in the view.
-        self._listed_since = float('inf')
         self.view = SiteView(settings.host)
         self.gossip = PeerGossip(settings, links, policy, self.view, self)
+        self.following = StoreFollowing(
+            settings,
+            links,
+            policy,
+            self.view,
+            self.gossip,
+            lambda: self.is_following,
+            self._follow_soon,
+        )
+        self._follower.subscribe(self.following.check_soon)
+        policy.subscribe_following(self.following.check_soon)
         self.reaper = HostReaper(
             self._store, self._table, self, self.view, self.gossip
         )
@@ -123,6 +131,11 @@
         """Tell whether the store answers this host, about each table."""
         return self._follower.is_reachable and self._policy.has_store
 
+    @property
+    def is_following(self) -> bool:
+        """Tell whether this host follows the feeds of all tables."""
+        return self._follower.is_current and self._policy.is_following
+
     @property
     def silent_s(self) -> float:
         """Return the seconds since the last message of a peer."""
@@ -134,19 +147,8 @@
         return max(self._epoch, self._store.epoch or 0)
 
     def is_follower(self) -> bool:
-        """Tell whether this host follows the store.
-
-        It does if it is one of the followers of its region, or if it hears
-        from no peer.
-        """
-        now = time.monotonic()
-        if self.silent_s > ISOLATED_AFTER_S:
-            return True
-        if now < self._listed_since + FOLLOW_AFTER_S or not self._is_settled:
-            return False
-        return self.gossip.followers.follows(
-            self.view.entries_by_host.values(), now
-        )
+        """Tell whether this host has to follow the store."""
+        return self.following.is_follower()
 
     def peer_addresses(self) -> list[str]:
         """Return where other daemons listen for peers, the nearest first."""
@@ -284,6 +286,7 @@
         """Note that this process has learnt which hosts there are."""
         if not self._is_settled:
             self._is_settled = True
+            self.following.settle()
             self._has_read.set()
             if self._settings.is_first_start:
                 self._follower.cancel_read()
@@ -297,7 +300,7 @@
             group.create_task(keep_running(self.gossip.compare_on))
             group.create_task(keep_running(self.gossip.push_on))
             group.create_task(keep_running(self.gossip.push_versions_on))
-            group.create_task(keep_running(self.gossip.check_followers_on))
+            group.create_task(keep_running(self.following.run))
             group.create_task(keep_running(self._writer.run))
             group.create_task(keep_running(self.reaper.run))
 
@@ -370,13 +373,15 @@
             self._writer.write_again()
 
     def _news(self, entries: list[SiteEntry]) -> None:
-        if self.view.own is not None:
-            self._listed_since = min(self._listed_since, time.monotonic())
         for entry in entries:
             self._balancer.update(entry.place)
         self.gossip.publish(entries)
         self._notify_listeners()
 
+    def _follow_soon(self) -> None:
+        self._follower.wake()
+        self._policy.wake()
+
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener()
--- a/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
+++ b/packages/daemon/src/dragonflyknot/daemon/sitepolicy.py
@@ -64,13 +64,15 @@
         links: PeerLinks,
         peers: Callable[[], list[str]],
         is_follower: Callable[[], bool],
+        backoff_ratio: Callable[[], float],
         *,
         is_first_start: bool = False,
     ) -> None:
         """Start without a configuration.
 
         `peers` returns the addresses of peers, the nearest ones first, and
-        `is_follower` tells whether this host follows the store's feed.
+        `is_follower` tells whether this host follows the store's feed, and
+        `backoff_ratio` how much longer than usual it rests without the store.
         `is_first_start` tells that the whole site starts for the first time.
         """
         self._platform = platform
@@ -83,6 +85,7 @@
             self._apply_rows,
             wait_s=FEED_WAIT_S,
             is_wanted=lambda: self._needs_store or is_follower(),
+            backoff_ratio=backoff_ratio,
         )
         self._first_version_s = (
             FIRST_VERSION_AT_FIRST_START_S
@@ -140,6 +143,14 @@
         )
         return self._follower.is_current or is_recent
 
+    def subscribe_following(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever `is_following` has changed."""
+        self._follower.subscribe(listener)
+
+    def wake(self) -> None:
+        """Ask at once whether this host has to follow the store's feed."""
+        self._follower.wake()
+
     def subscribe(self, listener: Callable[[SiteConfiguration], None]) -> None:
         """Call a listener with each configuration that is installed."""
         self._listeners.append(listener)
--- a/packages/daemon/src/dragonflyknot/daemon/tasks.py
+++ b/packages/daemon/src/dragonflyknot/daemon/tasks.py
@@ -1,6 +1,7 @@
 """Run background tasks that end with their owner."""
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from typing import Final
@@ -48,6 +49,11 @@
             _log.error('task_failed', exc_info=task.exception())
 
 
+def jittered(interval_s: float) -> float:
+    """Return an interval that differs a little each time, in seconds."""
+    return interval_s * (0.75 + random.random() / 2)
+
+
 async def keep_running(
     work: Callable[[], Coroutine[object, object, None]],
 ) -> None:
--- a/tests/platform/test_membership_calls.py
+++ b/tests/platform/test_membership_calls.py
@@ -6,7 +6,7 @@
 import testtools
 
 from asyncrun import run_async
-from dragonflyknot.daemon import sitemembers, sitepolicy
+from dragonflyknot.daemon import sitemembers, sitepolicy, storefollowing
 from dragonflyknot.daemon.sitehost import SiteHost
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.followers import FOLLOWERS_PER_REGION
@@ -17,7 +17,7 @@
 FEED_WAIT_S = 60.0
 SETTLED_S = 1.5
 # New hosts learn who precedes them before they follow the feeds.
-FOLLOWING_S = sitemembers.FOLLOW_AFTER_S + SETTLED_S + 0.5
+FOLLOWING_S = storefollowing.FOLLOW_AFTER_S + SETTLED_S + 0.5
 
 
 class ManyHostsTest(testtools.TestCase):
--- a/tests/platform/test_reused_addresses.py
+++ b/tests/platform/test_reused_addresses.py
@@ -6,14 +6,14 @@
 import testtools
 
 from asyncrun import run_async
-from dragonflyknot.daemon import hostreaper, sitemembers
+from dragonflyknot.daemon import hostreaper, storefollowing
 from dragonflyknot.decisions.calls import UpstreamState
 from dragonflyknot.decisions.followers import FOLLOWERS_PER_REGION
 from dragonflyknot.decisions.hostorder import position_of
 from sitefleet import SiteFleet, configuration
 
 HOSTS = 8
-FOLLOWING_S = sitemembers.FOLLOW_AFTER_S + 2
+FOLLOWING_S = storefollowing.FOLLOW_AFTER_S + 2
 
 
 class ReusedAddressTest(testtools.TestCase):
@@ -65,9 +65,7 @@
                 await fleet.replace(1, 'host-new')
                 message = leaving.gossip._gossip([own])
                 peers = [leaving.view.entries_by_host['host-1']]
-                self.assertFalse(
-                    await leaving.gossip._push_to(peers, message)
-                )
+                self.assertFalse(await leaving.gossip._push_to(peers, message))
 
         run_async(body())
 
--- a/tests/sitefleet.py
+++ b/tests/sitefleet.py
@@ -3,7 +3,9 @@
 import asyncio
 import itertools
 import json
-from contextlib import AsyncExitStack
+import socket
+from collections.abc import Iterator
+from contextlib import AsyncExitStack, contextmanager
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -13,6 +15,7 @@
 from dragonflyknot.daemon.sitehost import SiteHost
 from dragonflyknot.daemon.sitesettings import SitePlatform, SiteSettings
 from dragonflyknot.decisions.calls import UpstreamState
+from dragonflyknot.decisions.hostorder import position_of
 from dragonflyknot.decisions.upstreammessages import Heartbeat
 from dragonflyknot.exchange.clientmemory import DEFAULT_LIMIT_BYTES
 from dragonflyknot.stores.rowstore import RowName
@@ -21,6 +24,7 @@
 from rowstandin import RowStandIn, standing_in
 
 READY_DEADLINE_S = 20
+HANGING_LINKS = 100
 
 
 def configuration(
@@ -164,12 +168,20 @@
         await self.until(self.all_ready)
         return host
 
-    async def lose(self, number: int) -> None:
-        """End a host for good, together with its upstream."""
-        lost = self.hosts.pop(number)
-        self.settings.pop(number)
-        self.upstreams.pop(number)
-        await lost.__aexit__(None, None, None)
+    async def lose(self, host: SiteHost, *, hangs: bool = False) -> None:
+        """End a host for good; its address may accept for ever."""
+        number = self.hosts.index(host)
+        for parts in (self.hosts, self.settings, self.upstreams):
+            parts.pop(number)
+        await host.__aexit__(None, None, None)
+        if hangs:
+            self.stack.enter_context(_hanging(host.settings.peers_listen))
+
+    def hosts_in_order(self) -> list[SiteHost]:
+        """Return the hosts in the order that they all derive."""
+        return sorted(
+            self.hosts, key=lambda host: position_of(host.settings.host)
+        )
 
     async def replace(self, number: int, name: str) -> SiteHost:
         """End a host for good, and start another one at its addresses."""
@@ -276,6 +288,14 @@
     )
 
 
+@contextmanager
+def _hanging(address: str) -> Iterator[None]:
+    """Let connections to an address open, and answer nothing."""
+    ip, _colon, port = address.rpartition(':')
+    with socket.create_server((ip, int(port)), backlog=HANGING_LINKS):
+        yield
+
+
 def _reply(received: bytes) -> Reply:
     head, _blank, body = received.partition(b'\r\n\r\n')
     lines = head.decode('latin-1').split('\r\n')
