Probe lost meters beside the reports

What callers could see: requests refused within their rate for about a second every few seconds, for as long as three or more lost hosts that hang stay listed.

Cause: a host that lost the meter avoided it for 3 s and then reported to it again. A host that hangs takes 0.4 s to be found lost, and reports to the meter that lives waited meanwhile: with three lost ones longer than the 1.1 s after which a meter counts a host as out of touch, with eight for good.

The other tests of the file pass or are listed as before.

Why this works: a lost meter is chosen again only once it has answered a probe, which names no demand and goes on beside the reports, one at a time.

--- a/packages/daemon/src/dragonflyknot/daemon/siterates.py
+++ b/packages/daemon/src/dragonflyknot/daemon/siterates.py
@@ -2,12 +2,13 @@
 
 Reports go to the meter often while a workspace is near its rate or its
 demand jumps, and seldom otherwise. Where the meter does not answer, the next
-host in the order is asked.
+host in the order is asked. Lost meters are probed beside the reports.
 """
 
 import asyncio
 import time
 from collections import Counter
+from collections.abc import Iterator
 from typing import Final, Protocol
 
 import structlog
@@ -28,6 +29,7 @@
 
 MIN_REPORT_INTERVAL_S: Final = 0.04
 REPLY_TIMEOUT_S: Final = 0.4
+PROBE_INTERVAL_S: Final = 0.5
 LOG_INTERVAL_S: Final = 1.0
 NO_LIMIT: Final = RateLimit(0, 0)
 _log = structlog.get_logger(__name__)
@@ -107,14 +109,21 @@
         }
 
     def answer(self, content: bytes) -> bytes:
-        """Answer a demand report of a peer."""
-        report = demandwire.decode_report(content)
-        reply = MeterReply() if report is None else self._measure(report)
+        """Answer a demand report of a peer, or its probe."""
+        reply = MeterReply()
+        if content != demandwire.PROBE:
+            report = demandwire.decode_report(content)
+            reply = reply if report is None else self._measure(report)
         response = demandwire.MeterResponse(self._host, reply)
         return demandwire.encode_meter_response(response)
 
     async def run(self) -> None:
         """Report until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._report_on())
+            group.create_task(self._probe_on())
+
+    async def _report_on(self) -> None:
         while True:
             await asyncio.sleep(MIN_REPORT_INTERVAL_S)
             await self._pause(
@@ -134,9 +143,7 @@
 
     async def _report(self) -> None:
         asked_at = time.monotonic()
-        meter = self._choice.choose(
-            (entry.place for entry in self._members.entries()), asked_at
-        )
+        meter = self._choice.choose(self._places())
         meter_host = self._host if meter is None else meter.host
         self._log_meter(meter_host)
         demand = self._limiter.report(asked_at)
@@ -149,30 +156,48 @@
             self._meter.defer(time.monotonic())
             self._limiter.apply_reply(demand, reply, asked_at)
 
+    async def _probe_on(self) -> None:
+        """Probe lost meters at intervals, one at a time."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            lost = self._choice.lost_to_probe(self._places(), time.monotonic())
+            if lost is None:
+                continue
+            if await self._send(lost, demandwire.PROBE) is None:
+                self._choice.avoid(lost.host, time.monotonic())
+            else:
+                self._choice.restore(lost.host)
+
     async def _ask(
         self, meter: Place, report: demandwire.DemandReport
     ) -> MeterReply | None:
+        reply = await self._send(meter, demandwire.encode_report(report))
+        if reply is None:
+            _log.info('meter_lost', meter=meter.host)
+            self._choice.avoid(meter.host, time.monotonic())
+            self._urgent.set()
+        return reply
+
+    async def _send(self, meter: Place, content: bytes) -> MeterReply | None:
+        """Return the reply of a host, None if it did not answer itself."""
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
-                content = await self._links.ask(
-                    meter.address,
-                    demandwire.DEMAND_PATH,
-                    demandwire.encode_report(report),
+                received = await self._links.ask(
+                    meter.address, demandwire.DEMAND_PATH, content
                 )
         except (LinkLost, TimeoutError):
-            self._avoid(meter)
             return None
-        response = demandwire.decode_meter_response(content)
+        response = demandwire.decode_meter_response(received)
         if not response.is_from(meter.host):
             # It would grant shares beside the meter that the others use.
-            self._avoid(meter, answered_by=response.host)
+            _log.info(
+                'answered_by_another', peer=meter.host, sender=response.host
+            )
             return None
         return response.reply
 
-    def _avoid(self, meter: Place, answered_by: str = '') -> None:
-        _log.info('meter_lost', meter=meter.host, answered_by=answered_by)
-        self._choice.avoid(meter.host, time.monotonic())
-        self._urgent.set()
+    def _places(self) -> Iterator[Place]:
+        return (entry.place for entry in self._members.entries())
 
     def _measure(self, report: demandwire.DemandReport) -> MeterReply:
         reply = self._meter.record_report(
--- a/packages/peers/src/dragonflyknot/peers/demandwire.py
+++ b/packages/peers/src/dragonflyknot/peers/demandwire.py
@@ -18,6 +18,8 @@
 from dragonflyknot.exchange.telemetry import FaultLog
 
 DEMAND_PATH: Final = '/.dragonflyknot/demand'
+PROBE: Final = b''
+"""Asks who answers, and reports nothing."""
 MAX_PER_S: Final = 1e9
 """Highest rate and count of a message; sums over all hosts stay finite."""
 _faults = FaultLog()
--- a/tests/unit/test_rates_of_lost_hosts.py
+++ b/tests/unit/test_rates_of_lost_hosts.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from dragonflyknot.decisions.hostorder import position_of
 from ratefleet import RateFleet
 from virtualclock import run_virtual
 
@@ -13,6 +14,7 @@
 RATES_PER_S = (12.0, 57.0, 200.0)
 SEEDS = (1, 2)
 MAX_REFUSED_RATIO = 0.01
+FOUND_S = 60
 
 Faults = Callable[[RateFleet], Coroutine[object, object, None]]
 
@@ -173,3 +175,26 @@
     def test_hosts_cut_off_alone(self) -> None:
         """Refuse hardly anything at hosts that reach no other."""
         self.check_refused(cut_off_each, hosts=16)
+
+
+class LostMetersTest(testtools.TestCase):
+    """The hosts that live find a meter, whoever is lost."""
+
+    # Guards against hosts that ask lost meters over and over, as the first one
+    # is asked again before the last one has been found lost.
+    def test_first_hosts_hang(self) -> None:
+        """Report to the first host that answers."""
+        for lost in (3, 8, 40):
+            fleet = RateFleet(200, 64, seed=1)
+            run_virtual(self.play(fleet, lost))
+
+    async def play(self, fleet: RateFleet, lost: int) -> None:
+        """Cut the first hosts off for good; check who reports to the next."""
+        async with fleet:
+            order = sorted(fleet.hosts, key=position_of)
+            fleet.cut_off(order[:lost], together=False)
+            await asyncio.sleep(FOUND_S)
+            meter = fleet.network.rates_by_host[order[lost]]
+            for _second in range(10):
+                await asyncio.sleep(1)
+                self.assertEqual(64 - lost, meter.reporting_hosts)
