Draw peers that answer before those that do not

What callers could see: a version that reaches some hosts by the comparison of each second alone, as most hosts that are told of it were lost long ago.

Cause: comparisons and pushes drew from all listed peers. Lost hosts stay listed while more than half are unreached, and were drawn as often as the others.

Why this works: peers that didn't answer the last message are drawn only if no other is left; every fourth comparison comes with one of them, and a message from a host counts as a sign that it lives. Pushes that fail count as well.

--- a/packages/daemon/src/dragonflyknot/daemon/peerchoice.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peerchoice.py
@@ -1,9 +1,12 @@
 """Choose the peers of a host to gossip with.
 
-Traffic inside a data center is free, and that between regions is dear.
+Traffic inside a data center is free, and that between regions is dear. Peers
+that did not answer are chosen only if there are no others: those that are
+lost for good may stay listed, and be most of the peers.
 """
 
 import random
+from collections.abc import Container
 from typing import Final
 
 from dragonflyknot.daemon.sitesettings import SiteSettings
@@ -12,30 +15,45 @@
 
 SAME_REGION_SHARE: Final = 0.8
 PEERS_PER_LEAVING_HOST: Final = 2
+# How often a comparison comes with one with an unreached peer.
+UNREACHED_SHARE: Final = 0.25
 # Upstreams that have left go on serving for some seconds.
 LEAVING_MS: Final = 60_000
 
 
 class PeerChoice:
-    """Choose among the other hosts of a view."""
+    """Choose among the other hosts of a view.
 
-    def __init__(self, settings: SiteSettings, view: SiteView) -> None:
+    Those in `unreached_hosts` did not answer the last time.
+    """
+
+    def __init__(
+        self,
+        settings: SiteSettings,
+        view: SiteView,
+        unreached_hosts: Container[str],
+    ) -> None:
         """Choose for the host of the settings."""
         self._settings = settings
         self._view = view
+        self._unreached_hosts = unreached_hosts
 
     def peers(self) -> list[SiteEntry]:
         """Return the other hosts that have not left."""
         return [entry for entry in self._others() if not entry.is_gone]
 
     def nearest_peers(self) -> list[SiteEntry]:
-        """Return the peers in random order, the nearest data centers first."""
+        """Return the peers in random order, the nearest data centers first.
+
+        Those that did not answer come last.
+        """
         settings = self._settings
         peers = self.peers()
         random.shuffle(peers)
         return sorted(
             peers,
             key=lambda peer: (
+                peer.place.host in self._unreached_hosts,
                 peer.place.data_center != settings.data_center,
                 peer.place.region != settings.region,
             ),
@@ -48,7 +66,7 @@
         there is no such peer, any one will do.
         """
         settings = self._settings
-        peers = self.peers()
+        peers = self._reached_peers() or self.peers()
         wanted = [
             one
             for one in peers
@@ -62,6 +80,17 @@
         wanted = wanted or peers
         return random.sample(wanted, min(count, len(wanted)))
 
+    def unreached_peers(self) -> list[SiteEntry]:
+        """Return at times a peer that did not answer: it may be back."""
+        unreached = [
+            peer
+            for peer in self.peers()
+            if peer.place.host in self._unreached_hosts
+        ]
+        if not unreached or random.random() > UNREACHED_SHARE:
+            return []
+        return [random.choice(unreached)]
+
     def leaving_hosts(self) -> list[SiteEntry]:
         """Return some hosts whose upstream left lately.
 
@@ -79,6 +108,13 @@
             and random.random() < share
         ]
 
+    def _reached_peers(self) -> list[SiteEntry]:
+        return [
+            peer
+            for peer in self.peers()
+            if peer.place.host not in self._unreached_hosts
+        ]
+
     def _others(self) -> list[SiteEntry]:
         own = self._settings.host
         return [
--- a/packages/daemon/src/dragonflyknot/daemon/peergossip.py
+++ b/packages/daemon/src/dragonflyknot/daemon/peergossip.py
@@ -95,12 +95,13 @@
         policy.subscribe(lambda _configuration: self._has_version.set())
         self.unreached_since_by_host: dict[str, float] = {}
         self.heard_at = time.monotonic()
-        self.choice = PeerChoice(settings, view)
+        self.choice = PeerChoice(settings, view, self.unreached_since_by_host)
         self._told_departures: Departures = ()
 
     def learn_of(self, sender: str, version: int) -> None:
         """Record that a host sent a message, and the version that it has."""
         self.heard_at = time.monotonic()
+        self.unreached_since_by_host.pop(sender, None)
         known = self._view.entries_by_host.get(sender)
         # A new host is not known yet.
         address = '' if known is None else known.place.address
@@ -161,10 +162,9 @@
         while True:
             await asyncio.sleep(jittered(GOSSIP_INTERVAL_S))
             is_near = random.random() < SAME_DATA_CENTER_SHARE
-            compared = [
-                self._gossip_with(peer.place)
-                for peer in self.choice.random_peers(1, is_near=is_near)
-            ]
+            chosen = self.choice.random_peers(1, is_near=is_near)
+            chosen += self.choice.unreached_peers()
+            compared = [self._gossip_with(peer.place) for peer in chosen]
             leaving = [
                 self._compare_with(one.place)
                 for one in self.choice.leaving_hosts()
@@ -250,6 +250,7 @@
     async def _push(self, place: Place, news: sitewire.SiteGossip) -> bool:
         is_received = await self._send(place, news) is not None
         if not is_received:
+            self.record_silence(place)
             _log.debug('news_not_pushed', peer=place.host)
         return is_received
 
