--- a/packages/daemon/src/dragonflyknot/daemon/storefollowing.py
+++ b/packages/daemon/src/dragonflyknot/daemon/storefollowing.py
@@ -159,12 +159,13 @@
 
     async def _tell_next(self) -> None:
         """Tell the next host in the order if the own status has changed."""
+        next_host = self._next_host()
         status = self._status()
         told = None if status.count is None else status.count.essence()
         if told == self._told:
             return
         self._told = told
-        entry = self._view.entries_by_host.get(self._next_host())
+        entry = self._view.entries_by_host.get(next_host)
         if entry is not None:
             await self._send(entry.place)
 
