Close connections that were accepted while a listener is aborted

Cause: `Acceptor.abort` accepts what waits, makes a task for each connection and cancels the tasks. One that is cancelled before it runs has not taken its connection over, so nobody closed it. Its client learnt of the end only when the object was collected.

Evidence: test_connection_that_is_not_open_yet failed before with the warning of the entry ("ResourceWarning: unclosed"); it passes now.

Why this works: the acceptor keeps the connection with its task, and closes it if the task was cancelled.

--- a/packages/exchange/src/dragonflyknot/exchange/acceptor.py
+++ b/packages/exchange/src/dragonflyknot/exchange/acceptor.py
@@ -40,7 +40,7 @@
         self._factory = factory
         self._links = links
         self._socket: socket.socket | None = None
-        self._opening: set[asyncio.Task[Any]] = set()
+        self._opening: dict[asyncio.Task[Any], socket.socket] = {}
         self._retry: asyncio.TimerHandle | None = None
 
     def listen(self, host: str, port: int) -> None:
@@ -119,12 +119,15 @@
         task = self._loop.create_task(
             self._loop.connect_accepted_socket(self._factory, connection)
         )
-        self._opening.add(task)
+        self._opening[task] = connection
         task.add_done_callback(self._opened)
 
     def _opened(self, task: asyncio.Task[Any]) -> None:
-        self._opening.discard(task)
-        if not task.cancelled() and task.exception() is not None:
+        connection = self._opening.pop(task)
+        if task.cancelled():
+            # A task that never ran has not taken the connection over.
+            connection.close()
+        elif task.exception() is not None:
             _log.info('open_failed', error=type(task.exception()).__name__)
 
 
