Decode no chunk after the last one

Cause: `ChunkedDecoder.decode` began each call with the decoding of a chunk, also where only trailers were left. It took the empty line, or a trailer field, for the line of a chunk and raised MalformedBody. The same decoder reads what peers stream, and bodies of the project's own interface.

Why this works: in trailers, nothing but trailers is decoded.

--- a/packages/exchange/src/dragonflyknot/exchange/bodyreader.py
+++ b/packages/exchange/src/dragonflyknot/exchange/bodyreader.py
@@ -181,9 +181,11 @@
         parts: list[bytes] = []
         position = 0
         for _ in range(MAX_CHUNKS_A_STEP):
+            if self._is_in_trailers:
+                break
             start = position
             position = self._decode_chunk(received, start, parts)
-            if position == start or self._is_in_trailers:
+            if position == start:
                 break
         content = parts[0] if len(parts) == 1 else b''.join(parts)
         self._content_bytes += len(content)
